Lay out the cargo workspace, checks and first design

Cause: nothing stands yet; several people start at once and need one skeleton, one set of identifiers and one description of the platform's interfaces. Ruled out: one crate with features for each process, since the stand-ins must never become a dependency of the product.

--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
