Add the log service stand-in, its client and the error type

Cause: ledgers, bills and configuration all need to append to and read from the log service, and tests need that service with its faults.

Change: a stand-in with retention, an append rate limit, outages, slow and lost answers and long polls; `LogClient` over the pooled hyper-util client; `Error` with a category that says whether the peer may have acted. A 503 counts as unknown, since it may come after the effect. `append_until` reports unknown once any attempt may have appended, whatever the last attempt says.

Ruled out: dropping answers by a panic in an axum handler, which prints to stderr; the server closes the connection on a marked response instead.

Seen to fail first: `append_until_stays_unknown_after_a_lost_answer` with the memory of earlier attempts removed, `reads_what_was_appended` and `long_poll_wakes_on_append` with reads shifted by one record.

--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,8 +1,15 @@
 //! Router fleet for prepaid token budgets.
 
+mod backoff;
+mod error;
+mod http_call;
 mod id;
+mod log_client;
 
+pub use backoff::Backoff;
+pub use error::{Category, Error, Result};
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
 };
+pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
