Read INI folders into a checked fleet configuration

Cause: operators need one report of everything wrong in a folder, with file and line, and processes need a typed, immutable configuration per version.

Ruled out: parsing a whole file by rust-ini, which keeps no lines and stops at the first error. Each line is given to it by itself instead, so a value ends with its line.

Change: ini (merge by file name, places), issue (report, nearest-name hint), section (canonical form, typed reader), fleet (types, look-up by key hash), fleet_read (ranges, references between sections). Values of keys whose name starts with "key" are not printed, as a secret may stand there by mistake.

--- /dev/null
+++ b/crates/mallowpath/src/fleet.rs
@@ -0,0 +1,240 @@
+//! The typed configuration of the fleet.
+//!
+//! A [`Fleet`] is immutable: a process reads it once per version, shares it by `Arc` and replaces
+//! it whole, so a request sees one version from its start to its end.
+
+use crate::id::{
+    BackendId, BudgetId, ParseIdError, Region, ServiceId, Tokens, WorkspaceId, expected,
+};
+use sha2::{Digest, Sha256};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    fmt::{self, Debug, Display},
+    str::FromStr,
+    sync::Arc,
+};
+
+/// SHA-256 of a caller's bearer key; the key itself is never stored.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyHash([u8; 32]);
+
+/// The services that a workspace may call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Services {
+    /// Every service of the fleet.
+    All,
+    /// The services named.
+    Named(BTreeSet<ServiceId>),
+}
+
+/// What happens to requests of a workspace while the configuration cannot be confirmed as current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WhenUnconfirmed {
+    /// Requests are served by the last version known.
+    Serve,
+    /// Requests are refused as not run.
+    Refuse,
+}
+
+/// How a service is called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServiceKind {
+    /// A model that generates tokens.
+    Model,
+    /// Any HTTP service, billed by the call.
+    Plain,
+}
+
+/// What an operator wants of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendState {
+    /// It takes new work.
+    Active,
+    /// It finishes its work and takes no more.
+    Leaving,
+    /// It is never used, whatever the host list says.
+    Excluded,
+}
+
+/// A workspace and what its callers may do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Workspace {
+    /// Its name.
+    pub id: WorkspaceId,
+    /// Hashes of the bearer keys that belong to it.
+    pub keys: Vec<KeyHash>,
+    /// The budget spent when a request names none.
+    pub budget: BudgetId,
+    /// The services that it may call.
+    pub services: Services,
+    /// The region that keeps its idempotency keys.
+    pub home_region: Region,
+    /// Its share of a contended backend server, relative to other workspaces.
+    pub weight: u32,
+    /// The most requests that it may have running on one router.
+    pub max_running: u32,
+    /// Its priority; 0 is the most urgent.
+    pub priority: u8,
+    /// The most output tokens of one request.
+    pub max_output_tokens: Tokens,
+    /// What happens while the configuration cannot be confirmed.
+    pub when_unconfirmed: WhenUnconfirmed,
+}
+
+/// A prepaid budget.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Budget {
+    /// Its name.
+    pub id: BudgetId,
+    /// The workspace that spends it.
+    pub workspace: WorkspaceId,
+    /// The tokens paid for.
+    pub tokens: Tokens,
+}
+
+/// A model or plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Service {
+    /// Its name, the base of `base:adapter` for a model.
+    pub id: ServiceId,
+    /// How it is called.
+    pub kind: ServiceKind,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// The most output tokens of one request, whatever the caller asks for.
+    pub max_output_tokens: Tokens,
+    /// The output cap of a request that names none.
+    pub default_output_tokens: Tokens,
+    /// The price of one call of a plain service.
+    pub tokens_per_call: Tokens,
+    /// How long one request may take.
+    pub timeout_ms: u64,
+    /// The adapters that a model may be asked for.
+    pub adapters: BTreeSet<Arc<str>>,
+}
+
+/// A rule for one backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Backend {
+    /// Its name.
+    pub id: BackendId,
+    /// What is wanted of it.
+    pub state: BackendState,
+    /// The service that it is to serve.
+    pub service: ServiceId,
+    /// The role that it is ordered to take, such as `prefill`.
+    pub role: Option<Arc<str>>,
+    /// The model version that it is ordered to load.
+    pub version: Option<Arc<str>>,
+}
+
+/// Rules that hold for the whole fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetRules {
+    /// How soon a leaving backend server stops taking work.
+    pub leave_within_ms: u64,
+    /// The largest body of a request.
+    pub max_body_bytes: u64,
+    /// How old the last confirmation may be before `when_unconfirmed` applies.
+    pub unconfirmed_after_ms: u64,
+}
+
+/// One version of the whole configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// Rules that hold for the whole fleet.
+    pub rules: FleetRules,
+    /// Workspaces by name.
+    pub workspaces: BTreeMap<WorkspaceId, Arc<Workspace>>,
+    /// Budgets by name.
+    pub budgets: BTreeMap<BudgetId, Budget>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Arc<Service>>,
+    /// Rules for backend servers by name.
+    pub backends: BTreeMap<BackendId, Backend>,
+    pub(crate) by_key: HashMap<KeyHash, Arc<Workspace>>,
+}
+
+impl KeyHash {
+    /// Hashes a bearer key as a caller sends it.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+}
+
+impl Services {
+    /// Returns whether the set holds a service.
+    pub fn allows(&self, service: &ServiceId) -> bool {
+        match self {
+            Self::All => true,
+            Self::Named(named) => named.contains(service),
+        }
+    }
+}
+
+impl Fleet {
+    /// Finds the workspace that a bearer key belongs to, in constant time.
+    pub fn workspace_by_key(&self, key: KeyHash) -> Option<&Arc<Workspace>> {
+        self.by_key.get(&key)
+    }
+
+    /// Finds the service of a `model` field, `base` or `base:adapter`, and the adapter's name.
+    pub fn model<'a>(&self, model: &'a str) -> Option<(&Arc<Service>, Option<&'a str>)> {
+        let (base, adapter) = match model.split_once(':') {
+            Some((base, adapter)) => (base, Some(adapter)),
+            None => (model, None),
+        };
+        let service = self.services.get(&base.parse().ok()?)?;
+        if service.kind != ServiceKind::Model {
+            return None;
+        }
+        if adapter.is_some_and(|adapter| !service.adapters.contains(adapter)) {
+            return None;
+        }
+        Some((service, adapter))
+    }
+}
+
+impl Default for FleetRules {
+    fn default() -> Self {
+        Self {
+            leave_within_ms: 2_000,
+            max_body_bytes: 4 * 1024 * 1024,
+            unconfirmed_after_ms: 30_000,
+        }
+    }
+}
+
+impl FromStr for KeyHash {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const HASH: &str = "64 hexadecimal digits";
+        let mut bytes = [0; 32];
+        if text.len() != 2 * bytes.len() || !text.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return expected(HASH);
+        }
+        for (byte, index) in bytes.iter_mut().zip((0..).step_by(2)) {
+            let Ok(value) = u8::from_str_radix(&text[index..index + 2], 16) else {
+                return expected(HASH);
+            };
+            *byte = value;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        Display::fmt(self, f)
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -0,0 +1,385 @@
+//! Reads a [`Fleet`] from sections and checks it as a whole.
+
+use crate::{
+    fleet::{
+        Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
+        WhenUnconfirmed, Workspace,
+    },
+    id::{ServiceId, Tokens},
+    ini::IniDocument,
+    issue::{Issue, IssueReport, nearest},
+    section::{Reader, Section, SectionName, Sections, sections_of},
+};
+use std::{collections::BTreeSet, str::FromStr, sync::Arc};
+
+const KINDS: [&str; 5] = ["backend", "budget", "fleet", "service", "workspace"];
+/// Keys that hold names: kind of section, key, kind of the section named.
+const REFERENCES: [(&str, &str, &str); 4] = [
+    ("workspace", "budget", "budget"),
+    ("workspace", "services", "service"),
+    ("budget", "workspace", "workspace"),
+    ("backend", "service", "service"),
+];
+const NAME: &str = "a name of letters, digits and - _ . / :";
+const HASHES: &str = "SHA-256 hashes of 64 hexadecimal digits, separated by commas";
+const YES_OR_NO: [(&str, bool); 2] = [("yes", true), ("no", false)];
+
+const DEFAULT_WEIGHT: u64 = 1;
+const MAX_WEIGHT: u64 = 1_000;
+const DEFAULT_RUNNING: u64 = 256;
+const MAX_RUNNING: u64 = 100_000;
+const DEFAULT_PRIORITY: u64 = 5;
+const MAX_PRIORITY: u64 = 9;
+const DEFAULT_OUTPUT_TOKENS: u64 = 1_024;
+const CAP_OUTPUT_TOKENS: u64 = 8_192;
+const MAX_OUTPUT_TOKENS: u64 = 10_000_000;
+const MAX_BUDGET_TOKENS: u64 = 1_000_000_000_000_000;
+const DEFAULT_TIMEOUT_MS: u64 = 600_000;
+const MAX_TIMEOUT_MS: u64 = 24 * 3_600_000;
+const MAX_LEAVE_MS: u64 = 5_000;
+const MIN_BODY_BYTES: u64 = 1_024;
+const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+const MIN_UNCONFIRMED_MS: u64 = 1_000;
+
+impl Fleet {
+    /// Reads and checks a whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns every issue: unknown sections and keys, values out of range, and names that refer
+    /// to nothing.
+    pub fn from_sections(sections: &Sections) -> Result<Self, IssueReport> {
+        let mut issues = Vec::new();
+        let fleet = read_fleet(sections, &mut issues);
+        if issues.is_empty() {
+            Ok(fleet)
+        } else {
+            Err(IssueReport::new(issues))
+        }
+    }
+
+    /// Reads and checks the merged files of a folder, and returns the sections to publish too.
+    ///
+    /// # Errors
+    ///
+    /// Returns every issue with its file and line, those met while reading the files included.
+    pub fn from_document(document: &IniDocument) -> Result<(Self, Sections), IssueReport> {
+        let sections = sections_of(document);
+        let mut issues = document.issues.clone();
+        let fleet = read_fleet(&sections, &mut issues);
+        document.locate(&mut issues);
+        if issues.is_empty() {
+            Ok((fleet, sections))
+        } else {
+            Err(IssueReport::new(issues))
+        }
+    }
+}
+
+/// Parses a number of tokens, such as `1_000_000`, `5k` or `2M`.
+pub fn parse_tokens(text: &str) -> Option<Tokens> {
+    crate::section::parse_number(text).map(Tokens)
+}
+
+fn read_fleet(sections: &Sections, issues: &mut Vec<Issue>) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (name, section) in sections {
+        read_section(&mut fleet, name, section, issues);
+    }
+    index_keys(&mut fleet, issues);
+    check_names(sections, issues);
+    check_owners(sections, issues);
+    fleet
+}
+
+fn read_section(fleet: &mut Fleet, name: &SectionName, section: &Section, issues: &mut Vec<Issue>) {
+    if !KINDS.contains(&&*section.kind) {
+        let mut issue = Issue::new(
+            &name.to_string(),
+            "",
+            Some(&section.kind),
+            &format!("a section of kind {}", KINDS.join(", ")),
+        );
+        issue.hint = nearest(&section.kind, &KINDS);
+        return issues.push(issue);
+    }
+    let mut reader = Reader::new(section, issues);
+    match &*section.kind {
+        "fleet" => read_rules(fleet, &section.name, &mut reader),
+        "workspace" => read_workspace(fleet, &section.name, &mut reader),
+        "budget" => read_budget(fleet, &section.name, &mut reader),
+        "service" => read_service(fleet, &section.name, &mut reader),
+        _ => read_backend(fleet, &section.name, &mut reader),
+    }
+    reader.finish();
+}
+
+fn read_rules(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+    if !name.is_empty() {
+        reader.reject("", "the section [fleet], without a name");
+    }
+    let default = FleetRules::default();
+    fleet.rules = FleetRules {
+        leave_within_ms: reader.number("leave_within_ms", 0, MAX_LEAVE_MS, default.leave_within_ms),
+        max_body_bytes: reader.number(
+            "max_body_bytes",
+            MIN_BODY_BYTES,
+            MAX_BODY_BYTES,
+            default.max_body_bytes,
+        ),
+        unconfirmed_after_ms: reader.number(
+            "unconfirmed_after_ms",
+            MIN_UNCONFIRMED_MS,
+            MAX_TIMEOUT_MS,
+            default.unconfirmed_after_ms,
+        ),
+    };
+}
+
+fn read_workspace(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+    let id = read_name(name, reader);
+    let keys = reader.list::<KeyHash>("key_sha256", HASHES);
+    let budget = reader.required("budget", "the name of a budget of this workspace");
+    let services = read_services(reader);
+    let home_region = reader.required("home_region", NAME);
+    let weight = reader.number("weight", 1, MAX_WEIGHT, DEFAULT_WEIGHT);
+    let max_running = reader.number("max_running", 1, MAX_RUNNING, DEFAULT_RUNNING);
+    let priority = reader.number("priority", 0, MAX_PRIORITY, DEFAULT_PRIORITY);
+    let max_output_tokens =
+        reader.number("max_output_tokens", 1, MAX_OUTPUT_TOKENS, MAX_OUTPUT_TOKENS);
+    let when_unconfirmed = reader.choice(
+        "when_unconfirmed",
+        &[
+            ("serve", WhenUnconfirmed::Serve),
+            ("refuse", WhenUnconfirmed::Refuse),
+        ],
+        WhenUnconfirmed::Serve,
+    );
+    let (Some(id), Some(budget), Some(home_region)) = (id, budget, home_region) else {
+        return;
+    };
+    let workspace = Workspace {
+        id,
+        keys,
+        budget,
+        services,
+        home_region,
+        weight: narrow(weight),
+        max_running: narrow(max_running),
+        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+        max_output_tokens: Tokens(max_output_tokens),
+        when_unconfirmed,
+    };
+    fleet
+        .workspaces
+        .insert(workspace.id.clone(), Arc::new(workspace));
+}
+
+fn read_services(reader: &mut Reader<'_>) -> Services {
+    let parse = |text: &str| {
+        if text == "*" {
+            return Some(Services::All);
+        }
+        let mut named = BTreeSet::new();
+        for part in text.split(',') {
+            named.insert(part.trim().parse().ok()?);
+        }
+        Some(Services::Named(named))
+    };
+    let expected = "names of services separated by commas, or * for all";
+    reader
+        .parse_with("services", expected, parse)
+        .unwrap_or(Services::Named(BTreeSet::new()))
+}
+
+fn read_budget(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+    let id = read_name(name, reader);
+    let workspace = reader.required("workspace", "the name of a workspace");
+    reader.require(
+        "tokens",
+        "the number of tokens paid for, such as 1_000, 5k or 2M",
+    );
+    let tokens = reader.number("tokens", 0, MAX_BUDGET_TOKENS, 0);
+    let (Some(id), Some(workspace)) = (id, workspace) else {
+        return;
+    };
+    let budget = Budget {
+        id,
+        workspace,
+        tokens: Tokens(tokens),
+    };
+    fleet.budgets.insert(budget.id.clone(), budget);
+}
+
+fn read_service(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+    let id = read_name::<ServiceId>(name, reader);
+    if name.contains(':') {
+        reader.reject("", "a service name without :, which sets off an adapter");
+    }
+    let kinds = [("model", ServiceKind::Model), ("plain", ServiceKind::Plain)];
+    let kind = reader.choice("kind", &kinds, ServiceKind::Model);
+    let repeatable = reader.choice("repeatable", &YES_OR_NO, kind == ServiceKind::Model);
+    let cap = reader.number("max_output_tokens", 1, MAX_OUTPUT_TOKENS, CAP_OUTPUT_TOKENS);
+    let default = DEFAULT_OUTPUT_TOKENS.min(cap);
+    let default_output = reader.number("default_output_tokens", 1, cap, default);
+    let tokens_per_call = reader.number("tokens_per_call", 0, MAX_OUTPUT_TOKENS, 0);
+    if kind == ServiceKind::Model && tokens_per_call > 0 {
+        reader.reject("tokens_per_call", "the key only where kind = plain");
+    }
+    let timeout_ms = reader.number("timeout_ms", 1, MAX_TIMEOUT_MS, DEFAULT_TIMEOUT_MS);
+    let adapters = reader.list::<ServiceId>("adapters", "names of adapters separated by commas");
+    if kind == ServiceKind::Plain && !adapters.is_empty() {
+        reader.reject("adapters", "the key only where kind = model");
+    }
+    let Some(id) = id else {
+        return;
+    };
+    let service = Service {
+        id,
+        kind,
+        repeatable,
+        max_output_tokens: Tokens(cap),
+        default_output_tokens: Tokens(default_output),
+        tokens_per_call: Tokens(tokens_per_call),
+        timeout_ms,
+        adapters: adapters
+            .iter()
+            .map(|adapter| Arc::from(adapter.as_str()))
+            .collect(),
+    };
+    fleet.services.insert(service.id.clone(), Arc::new(service));
+}
+
+fn read_backend(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+    let id = read_name(name, reader);
+    let states = [
+        ("active", BackendState::Active),
+        ("leaving", BackendState::Leaving),
+        ("excluded", BackendState::Excluded),
+    ];
+    let state = reader.choice("state", &states, BackendState::Active);
+    let service = reader.required("service", "the name of a service");
+    let text = |text: &str| (!text.is_empty()).then(|| Arc::from(text));
+    let role = reader.parse_with("role", "the name of a role", text);
+    let version = reader.parse_with("version", "a version of the service's model", text);
+    let (Some(id), Some(service)) = (id, service) else {
+        return;
+    };
+    let backend = Backend {
+        id,
+        state,
+        service,
+        role,
+        version,
+    };
+    fleet.backends.insert(backend.id.clone(), backend);
+}
+
+fn read_name<T: FromStr>(name: &str, reader: &mut Reader<'_>) -> Option<T> {
+    let id = name.parse().ok();
+    if id.is_none() {
+        reader.reject("", &format!("a name behind the kind of section: {NAME}"));
+    }
+    id
+}
+
+fn index_keys(fleet: &mut Fleet, issues: &mut Vec<Issue>) {
+    for workspace in fleet.workspaces.values() {
+        for key in &workspace.keys {
+            let Some(other) = fleet.by_key.insert(*key, Arc::clone(workspace)) else {
+                continue;
+            };
+            let expected = format!("a key of one workspace only; {} has it too", other.id);
+            let header = format!("workspace {}", workspace.id);
+            issues.push(Issue::new(
+                &header,
+                "key_sha256",
+                Some(&key.to_string()),
+                &expected,
+            ));
+        }
+    }
+}
+
+/// Checks that every name refers to a section, also in sections that have other issues.
+fn check_names(sections: &Sections, issues: &mut Vec<Issue>) {
+    for (name, section) in sections {
+        for (kind, key, wanted_kind) in REFERENCES {
+            if &*name.kind != kind {
+                continue;
+            }
+            let Some(value) = section.entries.get(key) else {
+                continue;
+            };
+            for part in value.split(',') {
+                check_name(sections, name, key, (wanted_kind, part.trim()), issues);
+            }
+        }
+    }
+}
+
+fn check_name(
+    sections: &Sections,
+    header: &SectionName,
+    key: &str,
+    (kind, name): (&str, &str),
+    issues: &mut Vec<Issue>,
+) {
+    let wanted = SectionName {
+        kind: Arc::from(kind),
+        name: Arc::from(name),
+    };
+    if name == "*" || sections.contains_key(&wanted) {
+        return;
+    }
+    issues.push(missing(sections, &header.to_string(), key, &wanted));
+}
+
+fn check_owners(sections: &Sections, issues: &mut Vec<Issue>) {
+    for (name, section) in sections {
+        if &*name.kind != "workspace" {
+            continue;
+        }
+        let Some(budget) = section.entries.get("budget") else {
+            continue;
+        };
+        let wanted = SectionName {
+            kind: Arc::from("budget"),
+            name: Arc::clone(budget),
+        };
+        let Some(owner) = sections
+            .get(&wanted)
+            .and_then(|found| found.entries.get("workspace"))
+        else {
+            continue;
+        };
+        if *owner == name.name {
+            continue;
+        }
+        let expected = format!("a budget of this workspace; it is one of {owner}");
+        issues.push(Issue::new(
+            &name.to_string(),
+            "budget",
+            Some(budget),
+            &expected,
+        ));
+    }
+}
+
+#[cold]
+fn missing(sections: &Sections, header: &str, key: &str, wanted: &SectionName) -> Issue {
+    let mut names = Vec::new();
+    for name in sections.keys() {
+        if name.kind == wanted.kind {
+            names.push(&*name.name);
+        }
+    }
+    let expected = format!("the name of a [{} ...] section", wanted.kind);
+    let mut issue = Issue::new(header, key, Some(&wanted.name), &expected);
+    issue.hint = nearest(&wanted.name, &names);
+    issue
+}
+
+fn narrow(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- a/crates/mallowpath/src/id.rs
+++ b/crates/mallowpath/src/id.rs
@@ -24,7 +24,7 @@
 impl std::error::Error for ParseIdError {}
 
 #[cold]
-fn expected<T>(expected: &'static str) -> Result<T, ParseIdError> {
+pub(crate) fn expected<T>(expected: &'static str) -> Result<T, ParseIdError> {
     Err(ParseIdError { expected })
 }
 
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,8 +1,21 @@
 //! Router fleet for prepaid token budgets.
 
+mod fleet;
+mod fleet_read;
 mod id;
+mod ini;
+mod issue;
+mod section;
 
+pub use fleet::{
+    Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
+    WhenUnconfirmed, Workspace,
+};
+pub use fleet_read::parse_tokens;
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
 };
+pub use ini::{IniDocument, IniSection, IniValue};
+pub use issue::{Issue, IssueReport, Place};
+pub use section::{Section, SectionName, Sections, sections_of};
--- /dev/null
+++ b/crates/mallowpath/tests/ini.rs
@@ -0,0 +1,75 @@
+//! Merging of INI files and the places of their values.
+
+use expect_test::expect;
+use mallowpath::IniDocument;
+
+fn document(files: &[(&str, &str)]) -> IniDocument {
+    let mut document = IniDocument::default();
+    for (file, text) in files {
+        document.merge_text(file, text);
+    }
+    document
+}
+
+fn listing(document: &IniDocument) -> String {
+    let mut lines = Vec::new();
+    for (header, section) in &document.sections {
+        for (key, value) in &section.values {
+            lines.push(format!(
+                "[{header}] {key} = {:?} at {}",
+                value.text, value.place
+            ));
+        }
+    }
+    for issue in &document.issues {
+        lines.push(issue.to_string());
+    }
+    lines.join("\n")
+}
+
+#[test]
+fn later_file_wins_per_key_and_places_are_kept() {
+    let first =
+        "; shared\n[service  a]\nkind = model\ntimeout_ms = 5\n\n[service a]\nadapters = x\n";
+    let second = "\u{feff}[service a]\r\ntimeout_ms = 9\r\nnote = \"a # b\\tc\"\r\n";
+    expect![[r#"
+        [service a] adapters = "x" at 10.ini:7
+        [service a] kind = "model" at 10.ini:3
+        [service a] note = "a # b\tc" at 20.ini:3
+        [service a] timeout_ms = "9" at 20.ini:2"#]]
+    .assert_eq(&listing(&document(&[
+        ("10.ini", first),
+        ("20.ini", second),
+    ])));
+}
+
+#[test]
+fn every_bad_line_is_reported() {
+    let text = "early = 1\n[a\n[service a]\nkind\nx = 1\nx = 2\ny = \"open\n= 3\n";
+    expect![[r#"
+        [service a] x = "1" at f.ini:5
+        f.ini:1: "early = 1": expected a [section] before the first key
+        f.ini:2: "[a": expected a [section], a key = value or a comment after ; or #
+        f.ini:4: [service a] "kind": expected a [section], a key = value or a comment after ; or #
+        f.ini:6: [service a] x = "2": expected each key once in a file; it is also on line 5
+        f.ini:7: [service a] "y = \"open": expected a [section], a key = value or a comment after ; or #
+        f.ini:8: [service a] "= 3": expected a [section], a key = value or a comment after ; or #"#]]
+    .assert_eq(&listing(&document(&[("f.ini", text)])));
+}
+
+#[test]
+fn a_folder_is_read_in_name_order() {
+    let folder = std::env::temp_dir().join(format!("mallowpath-ini-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("create folder");
+    for (name, text) in [
+        ("b.ini", "[s]\nk=2"),
+        ("a.ini", "[s]\nk=1"),
+        ("c.txt", "[s]\nk=3"),
+    ] {
+        std::fs::write(folder.join(name), text).expect("write file");
+    }
+    let document = IniDocument::read_folder(&folder);
+    std::fs::remove_dir_all(&folder).expect("remove folder");
+    assert_eq!(&*document.sections["s"].values["k"].text, "2");
+    assert_eq!(IniDocument::read_folder(&folder).issues.len(), 1);
+}
