Sort the crate's modules after the merge

Cause: both sides of the merge listed the module of identifiers. Change: one list of modules and re-exports. Conclusion: the crate compiles again.

--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -2,19 +2,17 @@
 
 mod backoff;
 mod error;
-mod http_call;
-mod id;
-mod log_client;
-
-pub use backoff::Backoff;
-pub use error::{Category, Error, Result};
 mod fleet;
 mod fleet_read;
+mod http_call;
 mod id;
 mod ini;
 mod issue;
+mod log_client;
 mod section;
 
+pub use backoff::Backoff;
+pub use error::{Category, Error, Result};
 pub use fleet::{
     Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
     WhenUnconfirmed, Workspace,
