Replay the configuration stream by compare-and-set

Cause: operators race and repeat appends whose answers were lost; every reader has to agree on the version in force without asking anyone.

Ruled out: a checkpoint in one record, as 61,000 budgets do not fit the log's 1 MiB; a checkpoint valid only at its own offset, as its parts may stand among changes.

Change: change (prost records, diff), replay (ConfigState::apply, checkpoint parts that depend on the prefix only, ConfigLoader). A change that leads to an invalid fleet is void and undone; ids of the last 1,024 changes are kept and travel in checkpoints.

Seen to fail first, one broken rule at a time: an older base accepted (the_loser_learns_who_won, one_winner_per_version); a repeated id not known (the same two); an invalid change not undone (one_winner_per_version, any_checkpoint_gives_the_same_state); a checkpoint without recent ids (any_checkpoint_gives_the_same_state, a_large_checkpoint_...); old offsets applied (a_version_never_reverts); a checkpoint from before the first offset kept, and a damaged one, used (without_beginning_or_whole_checkpoint_...).

--- a/crates/mallowpath/src/fleet_read.rs
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -20,6 +20,8 @@
     ("budget", "workspace", "workspace"),
     ("backend", "service", "service"),
 ];
+/// Issues after which names that refer to nothing get no hint, as each compares all names.
+const MAX_HINTS: usize = 64;
 const NAME: &str = "a name of letters, digits and - _ . / :";
 const HASHES: &str = "SHA-256 hashes of 64 hexadecimal digits, separated by commas";
 const YES_OR_NO: [(&str, bool); 2] = [("yes", true), ("no", false)];
@@ -332,7 +334,14 @@
     if name == "*" || sections.contains_key(&wanted) {
         return;
     }
-    issues.push(missing(sections, &header.to_string(), key, &wanted));
+    let with_hint = issues.len() < MAX_HINTS;
+    issues.push(missing(
+        sections,
+        &header.to_string(),
+        key,
+        &wanted,
+        with_hint,
+    ));
 }
 
 fn check_owners(sections: &Sections, issues: &mut Vec<Issue>) {
@@ -367,19 +376,36 @@
 }
 
 #[cold]
-fn missing(sections: &Sections, header: &str, key: &str, wanted: &SectionName) -> Issue {
-    let mut names = Vec::new();
-    for name in sections.keys() {
-        if name.kind == wanted.kind {
-            names.push(&*name.name);
-        }
-    }
+fn missing(
+    sections: &Sections,
+    header: &str,
+    key: &str,
+    wanted: &SectionName,
+    with_hint: bool,
+) -> Issue {
     let expected = format!("the name of a [{} ...] section", wanted.kind);
     let mut issue = Issue::new(header, key, Some(&wanted.name), &expected);
-    issue.hint = nearest(&wanted.name, &names);
+    if with_hint {
+        issue.hint = nearest_section(sections, wanted);
+    }
     issue
 }
 
+fn nearest_section(sections: &Sections, wanted: &SectionName) -> Option<Arc<str>> {
+    let first = SectionName {
+        kind: Arc::clone(&wanted.kind),
+        name: Arc::from(""),
+    };
+    let mut names = Vec::new();
+    for name in sections.range(first..).map(|(name, _)| name) {
+        if name.kind != wanted.kind {
+            break;
+        }
+        names.push(&*name.name);
+    }
+    nearest(&wanted.name, &names)
+}
+
 fn narrow(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,12 +1,18 @@
 //! Router fleet for prepaid token budgets.
 
+mod change;
 mod fleet;
 mod fleet_read;
 mod id;
 mod ini;
 mod issue;
+mod replay;
 mod section;
 
+pub use change::{
+    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
+    SectionNameRecord, SectionRecord, diff,
+};
 pub use fleet::{
     Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
     WhenUnconfirmed, Workspace,
@@ -18,4 +24,5 @@
 };
 pub use ini::{IniDocument, IniSection, IniValue};
 pub use issue::{Issue, IssueReport, Place};
+pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
 pub use section::{Section, SectionName, Sections, sections_of};
--- /dev/null
+++ b/crates/mallowpath/tests/change.rs
@@ -0,0 +1,258 @@
+//! Replay of the configuration stream under racing publishers, repeated appends and checkpoints.
+
+use mallowpath::{
+    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, Delta, IniDocument,
+    Offset, ReplayError, Sections, Verdict, Version, VoidReason, diff, sections_of,
+};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, prop_assert, prop_assert_eq, proptest},
+    test_runner::RngSeed,
+};
+use prost::Message;
+use std::collections::BTreeSet;
+
+const INVALID: u8 = 9;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 128,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    }
+}
+
+fn sections(text: &str) -> Sections {
+    let mut document = IniDocument::default();
+    document.merge_text("a.ini", text);
+    sections_of(&document)
+}
+
+fn change(id: u64, base: Version, author: &str, text: &str) -> ConfigRecord {
+    let delta = diff(&Sections::new(), &sections(text));
+    Change::new(ChangeId(id), base, author, 0, &delta).into()
+}
+
+fn replay(mut state: ConfigState, log: &[ConfigRecord]) -> (ConfigState, Vec<Verdict>) {
+    let mut verdicts = Vec::new();
+    for (offset, record) in (0..).map(Offset).zip(log) {
+        if offset < state.next() {
+            continue;
+        }
+        verdicts.push(state.apply(offset, record).expect("record in turn"));
+    }
+    (state, verdicts)
+}
+
+/// Builds a log from steps of two publishers: 0 reads, 1 publishes, 2 repeats the last append,
+/// 3 writes a checkpoint of what it has read, 4 appends bytes that are no record.
+fn race(steps: &[(usize, u8, u8)]) -> Vec<ConfigRecord> {
+    let mut log = Vec::new();
+    let mut seen = [ConfigState::default(), ConfigState::default()];
+    let mut last: [Option<ConfigRecord>; 2] = [None, None];
+    for (id, (who, step, value)) in (1..).zip(steps) {
+        match step {
+            0 => seen[*who] = replay(seen[*who].clone(), &log).0,
+            1 => {
+                let text = match *value {
+                    INVALID => "[fleet]\nleave_within_ms = never".to_owned(),
+                    value => format!("[service s{value}]\ntimeout_ms = {id}"),
+                };
+                let record = change(id, seen[*who].version(), ["ann", "bo"][*who], &text);
+                last[*who] = Some(record.clone());
+                log.push(record);
+            }
+            2 => log.extend(last[*who].clone()),
+            3 => log.extend(seen[*who].checkpoint().into_iter().map(ConfigRecord::from)),
+            _ => log.push(ConfigRecord::read(b"\xff\xff")),
+        }
+    }
+    log
+}
+
+fn is_valid(change: &Change) -> bool {
+    change.set.iter().all(|section| section.kind != "fleet")
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn one_winner_per_version(steps in vec((0..2_usize, 0..5_u8, 0..=INVALID), 0..60)) {
+        let log = race(&steps);
+        let (state, verdicts) = replay(ConfigState::default(), &log);
+        let mut version = 0;
+        let mut ids = BTreeSet::new();
+        let mut expected = Sections::new();
+        for (offset, (record, verdict)) in (0..).zip(log.iter().zip(&verdicts)) {
+            let Some(ConfigEntry::Change(change)) = &record.entry else {
+                prop_assert!(!matches!(verdict, Verdict::Accepted(_) | Verdict::Duplicate(_)));
+                continue;
+            };
+            if !ids.insert(change.id) {
+                prop_assert!(matches!(verdict, Verdict::Duplicate(_)));
+                continue;
+            }
+            if change.base_version != version || !is_valid(change) {
+                let stands = matches!(verdict, Verdict::Void { version: v, .. } if v.0 == version);
+                prop_assert!(stands);
+                continue;
+            }
+            version = offset + 1;
+            prop_assert_eq!(verdict, &Verdict::Accepted(Version(version)));
+            for section in &change.set {
+                let section = mallowpath::Section::from(section);
+                expected.insert(section.section_name(), section);
+            }
+        }
+        prop_assert_eq!(state.version(), Version(version));
+        prop_assert_eq!(state.sections(), &expected);
+    }
+
+    #[test]
+    fn any_checkpoint_gives_the_same_state(
+        steps in vec((0..2_usize, 0..5_u8, 0..=INVALID), 0..40),
+        cut in 0..40_usize,
+    ) {
+        let log = race(&steps);
+        let cut = cut.min(log.len());
+        let (whole, verdicts) = replay(ConfigState::default(), &log);
+        let (prefix, _) = replay(ConfigState::default(), &log[..cut]);
+        let mut loader = ConfigLoader::new(prefix.next());
+        let mut loaded = None;
+        for part in prefix.checkpoint() {
+            let bytes = ConfigRecord::from(part).encode_to_vec();
+            loaded = loader.push(&ConfigRecord::read(&bytes));
+        }
+        let (state, later) = replay(loaded.expect("whole checkpoint"), &log);
+        prop_assert_eq!(state.state_hash(), whole.state_hash());
+        prop_assert_eq!(later.as_slice(), &verdicts[cut..]);
+        prop_assert_eq!(state, whole);
+    }
+
+    #[test]
+    fn a_version_never_reverts(
+        steps in vec((0..2_usize, 0..5_u8, 0..=INVALID), 0..40),
+        deliveries in vec(0..40_u64, 0..200),
+    ) {
+        let log = race(&steps);
+        let mut state = ConfigState::default();
+        for offset in deliveries.into_iter().map(Offset) {
+            let Some(record) = usize::try_from(offset.0).ok().and_then(|index| log.get(index)) else {
+                continue;
+            };
+            let before = state.clone();
+            match state.apply(offset, record) {
+                Ok(_) => prop_assert!(state.version() >= before.version()),
+                Err(error) => {
+                    prop_assert_eq!(
+                        error,
+                        ReplayError::OutOfOrder { wanted: before.next(), found: offset }
+                    );
+                    prop_assert_eq!(&state, &before);
+                }
+            }
+        }
+        let next = usize::try_from(state.next().0).expect("small offset");
+        prop_assert_eq!(state, replay(ConfigState::default(), &log[..next]).0);
+    }
+}
+
+#[test]
+fn the_loser_learns_who_won() {
+    let log = [
+        change(1, Version(0), "ann", "[service a]"),
+        change(2, Version(0), "bo", "[service b]"),
+        change(1, Version(0), "ann", "[service a]"),
+    ];
+    let lost = Verdict::Void {
+        reason: VoidReason::OtherBase(Version(0)),
+        author: "ann".into(),
+        version: Version(1),
+    };
+    let (_, verdicts) = replay(ConfigState::default(), &log);
+    assert_eq!(
+        verdicts,
+        [
+            Verdict::Accepted(Version(1)),
+            lost,
+            Verdict::Duplicate(Some(Version(1)))
+        ]
+    );
+}
+
+#[test]
+fn a_change_carries_only_what_differs() {
+    let old = sections("[service a]\n[service b]\ntimeout_ms = 1\n[service c]");
+    let new = sections("[service a]\n[service b]\ntimeout_ms = 2\n[service d]");
+    let Delta { set, removed } = diff(&old, &new);
+    let set: Vec<String> = set
+        .iter()
+        .map(|section| section.section_name().to_string())
+        .collect();
+    assert_eq!(set, ["service b", "service d"]);
+    assert_eq!(
+        removed.iter().map(ToString::to_string).collect::<Vec<_>>(),
+        ["service c"]
+    );
+    assert!(diff(&new, &new).is_empty());
+}
+
+fn large_state() -> ConfigState {
+    let mut text = "[workspace w]\nbudget = b0\nhome_region = r\n".to_owned();
+    for index in 0..20_000 {
+        text += "[budget b";
+        text += &index.to_string();
+        text += "]\nworkspace = w\ntokens = 5M\n";
+    }
+    replay(
+        ConfigState::default(),
+        &[change(1, Version(0), "ann", &text)],
+    )
+    .0
+}
+
+#[test]
+fn a_large_checkpoint_comes_in_parts_of_any_order() {
+    const MAX_RECORD_BYTES: usize = 1024 * 1024;
+    let state = large_state();
+    let parts = state.checkpoint();
+    assert!(parts.len() > 1);
+    let mut loader = ConfigLoader::new(state.next());
+    let mut loaded = None;
+    for part in parts.into_iter().rev() {
+        assert!(part.encoded_len() < MAX_RECORD_BYTES);
+        assert_eq!(loaded, None);
+        loaded = loader.push(&part.into());
+    }
+    assert_eq!(loaded, Some(state));
+}
+
+#[test]
+fn without_beginning_or_whole_checkpoint_loading_fails() {
+    let state = large_state();
+    let mut damaged = state.checkpoint();
+    damaged[0].sections.pop();
+    let missing = &state.checkpoint()[1..];
+    for (first, parts) in [
+        (1, damaged.as_slice()),
+        (1, missing),
+        (2, &state.checkpoint()),
+    ] {
+        let mut loader = ConfigLoader::new(Offset(first));
+        for part in parts {
+            assert_eq!(loader.push(&part.clone().into()), None);
+        }
+        assert_eq!(
+            loader.finish(),
+            Err(ReplayError::NoStart {
+                first: Offset(first)
+            })
+        );
+    }
+    assert_eq!(
+        ConfigLoader::new(Offset(0)).finish(),
+        Ok(ConfigState::default())
+    );
+}
