--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod error;
+mod change;
 mod fleet;
 mod fleet_read;
 mod http_call;
@@ -13,6 +14,13 @@
 
 pub use backoff::Backoff;
 pub use error::{Category, Error, Result};
+mod replay;
+mod section;
+
+pub use change::{
+    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
+    SectionNameRecord, SectionRecord, diff,
+};
 pub use fleet::{
     Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
     WhenUnconfirmed, Workspace,
@@ -25,4 +33,5 @@
 pub use ini::{IniDocument, IniSection, IniValue};
 pub use issue::{Issue, IssueReport, Place};
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
+pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
 pub use section::{Section, SectionName, Sections, sections_of};
