--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,8 +1,8 @@
 //! Router fleet for prepaid token budgets.
 
 mod backoff;
-mod error;
 mod change;
+mod error;
 mod fleet;
 mod fleet_read;
 mod http_call;
@@ -10,17 +10,15 @@
 mod ini;
 mod issue;
 mod log_client;
-mod section;
-
-pub use backoff::Backoff;
-pub use error::{Category, Error, Result};
 mod replay;
 mod section;
 
+pub use backoff::Backoff;
 pub use change::{
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use error::{Category, Error, Result};
 pub use fleet::{
     Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
     WhenUnconfirmed, Workspace,
