Add the other stand-ins and the client of the host list

Cause: tests of routing, fencing and cut-off streams need backend servers and links that fail on demand, and routers need the host list.

Change: stand-ins of the host list, weight store, model engine and plain service, and a TCP forwarder; one binary with a subcommand for each. The engine derives each token from model, prompt and position, so that tests check whole answers. `HostClient` keeps the last list in an outage and skips entries that it can't parse.

Ruled out: one settings type for all stand-ins; a run that ends when its caller's connection closes, since streams can be resumed.

Seen to fail first, each with its rule removed: stale connections, resuming from a token, priority order, the fence, the host list's lag. While writing, `cache_evicts_and_events_have_gaps` failed because its prompts shared their first block; the prompts now differ, the check is the same.

--- /dev/null
+++ b/crates/mallowpath/tests/host_client.rs
@@ -0,0 +1,62 @@
+//! The client of the host list against its stand-in.
+
+use mallowpath::{Backoff, HostClient, HostClientSettings, HostList, HostRole, HostState};
+use mallowpath_standins::{
+    Outage,
+    host_list::{self, Host, Settings},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::watch, time::timeout};
+
+fn host(name: &str, state: &str) -> Host {
+    Host {
+        name: name.to_owned(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        role: "sidecar".to_owned(),
+        availability_zone: "z1".to_owned(),
+        region: "r1".to_owned(),
+        state: state.to_owned(),
+    }
+}
+
+#[tokio::test]
+async fn last_list_stays_in_an_outage_and_a_bad_entry_hides_no_other() {
+    let hosts = vec![host("a", "leaving"), host("b", "odd")];
+    let service = host_list::start(Settings {
+        hosts,
+        ..Settings::default()
+    })
+    .await
+    .unwrap();
+    let settings = HostClientSettings {
+        answer_timeout_ms: 50,
+        wait_ms: 20,
+        backoff: Backoff {
+            min_ms: 1,
+            max_ms: 5,
+        },
+        ..HostClientSettings::default()
+    };
+    let client = HostClient::new(service.address, settings);
+    let (sender, mut lists) = watch::channel(Arc::new(HostList::default()));
+    let task = tokio::spawn(async move { client.watch(sender).await });
+    lists.changed().await.unwrap();
+    let list = Arc::clone(&lists.borrow_and_update());
+    assert_eq!(list.hosts.len(), 1);
+    let first = &list.hosts[0];
+    assert_eq!((first.name.as_str(), first.zone.as_str()), ("a", "z1"));
+    assert_eq!(
+        (first.role, first.state),
+        (HostRole::Sidecar, HostState::Leaving)
+    );
+    service.change(|settings| settings.outage = Outage::Refuse);
+    timeout(Duration::from_millis(100), lists.changed())
+        .await
+        .unwrap_err();
+    assert_eq!(lists.borrow().hosts.len(), 1);
+    drop(lists);
+    timeout(Duration::from_secs(5), task)
+        .await
+        .unwrap()
+        .unwrap();
+}
--- a/crates/mallowpath/tests/log_client.rs
+++ b/crates/mallowpath/tests/log_client.rs
@@ -2,7 +2,10 @@
 
 use bytes::Bytes;
 use mallowpath::{Backoff, Category, LogClient, LogClientSettings, Offset};
-use mallowpath_standins::log_service::{self, Outage, Settings};
+use mallowpath_standins::{
+    Outage,
+    log_service::{self, Settings},
+};
 use std::time::Duration;
 use tokio::time::Instant;
 
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,228 @@
+//! A model engine that batches continuously, at a small part of the real cost.
+
+use crate::{
+    engine_api,
+    engine_batch::{Batch, Load, whole_ms},
+    server::{self, Live, lock},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeSet,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, Weak},
+    time::Duration,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, sleep_until},
+};
+
+/// The shortest step of the batch.
+const MIN_STEP_MS: f64 = 0.05;
+
+/// How often a frozen engine looks whether it still is.
+const FROZEN_POLL_MS: u64 = 5;
+
+/// A running engine.
+pub type Handle = crate::Handle<Settings>;
+
+/// What an engine does with the fencing number of an order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fencing {
+    /// It refuses an order with an older number than it has seen.
+    #[default]
+    Refuse,
+    /// It takes every order.
+    Ignore,
+}
+
+/// Settings and faults of the engine.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The address to listen at.
+    pub listen: SocketAddr,
+    /// The base model served at the start; a request may add an adapter as `model:adapter`.
+    pub model: String,
+    /// Requests in the batch.
+    pub max_running: usize,
+    /// Tokens of prompts and answers that fit into memory.
+    pub kv_total_tokens: u64,
+    /// How long 1000 prompt tokens take that are not cached.
+    pub prefill_ms_per_1k_tokens: u64,
+    /// How long a step of the batch takes, one token for each request.
+    pub decode_ms: f64,
+    /// How much longer a step takes for each request in the batch.
+    pub decode_per_running_us: u64,
+    /// Blocks of prompts that the prefix cache holds.
+    pub cache_blocks: usize,
+    /// How long a cache event takes to appear.
+    pub event_lag_ms: u64,
+    /// The probability that a cache event never appears.
+    pub event_gap_probability: f64,
+    /// The age up to which a load report may be old.
+    pub load_lag_ms: u64,
+    /// How long a finished answer can be resumed.
+    pub finished_kept_ms: u64,
+    /// Adapters that fit into memory.
+    pub adapter_slots: usize,
+    /// How long loading an adapter takes.
+    pub adapter_load_ms: u64,
+    /// How long loading a model takes.
+    pub model_load_ms: u64,
+    /// What happens to orders with an old fencing number.
+    pub fencing: Fencing,
+    /// Tokens produced past `max_tokens`.
+    pub overrun_tokens: u64,
+    /// Tokens by which the reported completion tokens are off.
+    pub miscount_tokens: i64,
+    /// Takes connections and never answers; running requests stand still.
+    pub freeze: bool,
+    /// The seed of the gaps between cache events.
+    pub seed: u64,
+}
+
+/// A running engine as its calls see it.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) settings: Arc<Live<Settings>>,
+    pub(crate) batch: Mutex<Batch>,
+    pub(crate) orders: Mutex<Orders>,
+    pub(crate) submitted: Notify,
+    published_load: Mutex<Load>,
+    started: Instant,
+}
+
+/// What the engine was ordered to be.
+#[derive(Debug)]
+pub(crate) struct Orders {
+    pub(crate) highest_fence: u64,
+    pub(crate) models: BTreeSet<String>,
+    pub(crate) role: String,
+    pub(crate) accepted: Vec<serde_json::Value>,
+}
+
+/// Starts an engine.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub async fn start(settings: Settings) -> io::Result<Handle> {
+    let listen = settings.listen;
+    let orders = Orders {
+        highest_fence: 0,
+        models: BTreeSet::from([settings.model.clone()]),
+        role: String::new(),
+        accepted: Vec::new(),
+    };
+    let batch = Batch::new(settings.seed);
+    let load = batch.load(&settings, 0);
+    let settings = Live::new(settings);
+    let service = Arc::new(Service {
+        settings: Arc::clone(&settings),
+        batch: Mutex::new(batch),
+        orders: Mutex::new(orders),
+        submitted: Notify::new(),
+        published_load: Mutex::new(load),
+        started: Instant::now(),
+    });
+    let weak = Arc::downgrade(&service);
+    let handle = server::start(listen, settings, engine_api::router(service)).await?;
+    // Both tasks end after the server, which holds the service.
+    tokio::spawn(run_batch(Weak::clone(&weak)));
+    tokio::spawn(publish_load(weak));
+    Ok(handle)
+}
+
+async fn run_batch(service: Weak<Service>) {
+    let mut next_step = Instant::now();
+    loop {
+        let Some(service) = service.upgrade() else {
+            return;
+        };
+        let settings = service.settings.get();
+        if settings.freeze {
+            drop(service);
+            sleep(Duration::from_millis(FROZEN_POLL_MS)).await;
+            next_step = Instant::now();
+            continue;
+        }
+        let now_ms = service.now_ms();
+        let step_ms = lock(&service.batch).step(&settings, now_ms);
+        if let Some(step_ms) = step_ms {
+            drop(service);
+            next_step += Duration::from_secs_f64(step_ms.max(MIN_STEP_MS) / 1000.0);
+            sleep_until(next_step).await;
+        } else {
+            service.wait_for_work().await;
+            next_step = Instant::now();
+        }
+    }
+}
+
+async fn publish_load(service: Weak<Service>) {
+    loop {
+        let Some(service) = service.upgrade() else {
+            return;
+        };
+        let load = service.load_now();
+        let lag_ms = service.settings.get().load_lag_ms;
+        *lock(&service.published_load) = load;
+        drop(service);
+        sleep(Duration::from_millis(lag_ms.max(1))).await;
+    }
+}
+
+impl Service {
+    /// Returns the milliseconds since the start.
+    pub(crate) fn now_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Returns the load report, which lags.
+    pub(crate) fn load(&self) -> Load {
+        if self.settings.get().load_lag_ms == 0 {
+            return self.load_now();
+        }
+        *lock(&self.published_load)
+    }
+
+    fn load_now(&self) -> Load {
+        lock(&self.batch).load(&self.settings.get(), whole_ms(self.now_ms()))
+    }
+
+    /// Waits for a request, but not so long that a stopped engine stays in memory.
+    async fn wait_for_work(&self) {
+        let longest = Duration::from_millis(100);
+        drop(tokio::time::timeout(longest, self.submitted.notified()).await);
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            model: "model".to_owned(),
+            max_running: 32,
+            kv_total_tokens: 200_000,
+            prefill_ms_per_1k_tokens: 50,
+            decode_ms: 10.0,
+            decode_per_running_us: 100,
+            cache_blocks: 4096,
+            event_lag_ms: 200,
+            event_gap_probability: 0.0,
+            load_lag_ms: 200,
+            finished_kept_ms: 10_000,
+            adapter_slots: 4,
+            adapter_load_ms: 500,
+            model_load_ms: 2_000,
+            fencing: Fencing::Refuse,
+            overrun_tokens: 0,
+            miscount_tokens: 0,
+            freeze: false,
+            seed: 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine_api.rs
@@ -0,0 +1,294 @@
+//! The calls of the model engine.
+
+use crate::{
+    engine::{Fencing, Service},
+    engine_batch::{Finish, Job, Run, whole_ms},
+    engine_stream::AnswerStream,
+    engine_text::text_seed,
+    prefix_cache::{EventFaults, prefix_hashes},
+    server::{error, lock},
+};
+use axum::{
+    Json, Router,
+    extract::{Path, Query, Request, State},
+    http::{HeaderMap, StatusCode},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::{delete, get, post},
+};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::{sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+/// The length of an answer when the request says nothing.
+const DEFAULT_TOKENS: u64 = 64;
+
+/// The size of the KV cache that an export returns.
+const KV_EXPORT_BYTES: usize = 4096;
+
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    model: String,
+    messages: Vec<Message>,
+    #[serde(alias = "max_completion_tokens")]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    priority: u32,
+    standin_tokens: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct FromToken {
+    #[serde(default)]
+    from_token: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct FromEvent {
+    #[serde(default)]
+    from: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct OrderRequest {
+    fence: u64,
+    order: Order,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Order {
+    kind: OrderKind,
+    name: String,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum OrderKind {
+    LoadModel,
+    LoadAdapter,
+    UnloadAdapter,
+    SetRole,
+}
+
+/// Builds the calls of the engine.
+pub(crate) fn router(service: Arc<Service>) -> Router {
+    Router::new()
+        .route("/v1/chat/completions", post(complete))
+        .route("/v1/requests/{id}/stream", get(resume))
+        .route("/v1/requests/{id}", delete(cancel))
+        .route("/v1/load", get(load))
+        .route("/v1/cache/events", get(cache_events))
+        .route("/v1/orders", post(order))
+        .route("/v1/kv/{prefix_hash}", get(export_kv).put(import_kv))
+        .layer(middleware::from_fn_with_state(
+            Arc::clone(&service),
+            be_frozen,
+        ))
+        .route("/v1/stats", get(stats))
+        .with_state(service)
+}
+
+async fn be_frozen(State(service): State<Arc<Service>>, request: Request, next: Next) -> Response {
+    let mut settings = service.settings.subscribe();
+    // The settings outlive the service, so the wait has no error.
+    drop(settings.wait_for(|settings| !settings.freeze).await);
+    next.run(request).await
+}
+
+async fn complete(
+    State(service): State<Arc<Service>>,
+    headers: HeaderMap,
+    Json(request): Json<ChatRequest>,
+) -> Response {
+    let (base, adapter) = match request.model.split_once(':') {
+        Some((base, adapter)) => (base, Some(adapter.to_owned())),
+        None => (request.model.as_str(), None),
+    };
+    if !lock(&service.orders).models.contains(base) {
+        return error(StatusCode::NOT_FOUND, "model is not loaded");
+    }
+    let run = service.submit(&request, adapter, &headers);
+    let miscount_tokens = service.settings.get().miscount_tokens;
+    let mut answer = AnswerStream::new(run, 0, miscount_tokens);
+    if request.stream {
+        return answer.into_response();
+    }
+    answer.wait_finished().await;
+    Json(answer.whole(&request.model)).into_response()
+}
+
+async fn resume(
+    State(service): State<Arc<Service>>,
+    Path(id): Path<String>,
+    Query(query): Query<FromToken>,
+) -> Response {
+    let run = lock(&service.batch).runs.get(&id).cloned();
+    let Some(run) = run else {
+        return error(StatusCode::NOT_FOUND, "request is not known");
+    };
+    let miscount_tokens = service.settings.get().miscount_tokens;
+    AnswerStream::new(run, query.from_token, miscount_tokens).into_response()
+}
+
+async fn cancel(State(service): State<Arc<Service>>, Path(id): Path<String>) -> Response {
+    let now_ms = service.now_ms();
+    match lock(&service.batch).cancel(&id, now_ms) {
+        Some(progress) => Json(json!({ "completion_tokens": progress.produced })).into_response(),
+        None => error(StatusCode::NOT_FOUND, "request is not known"),
+    }
+}
+
+async fn load(State(service): State<Arc<Service>>) -> Response {
+    Json(service.load()).into_response()
+}
+
+async fn cache_events(
+    State(service): State<Arc<Service>>,
+    Query(query): Query<FromEvent>,
+) -> Json<Value> {
+    let lag_ms = service.settings.get().event_lag_ms;
+    let now_ms = whole_ms(service.now_ms());
+    let (next, events) = lock(&service.batch)
+        .cache
+        .events(query.from, now_ms, lag_ms);
+    Json(json!({ "next": next, "events": events }))
+}
+
+async fn order(State(service): State<Arc<Service>>, Json(request): Json<OrderRequest>) -> Response {
+    let settings = service.settings.get();
+    if let Err(highest) = service.accept(&request, settings.fencing) {
+        return (StatusCode::CONFLICT, Json(json!({ "fence": highest }))).into_response();
+    }
+    let name = request.order.name;
+    let wait_ms = match request.order.kind {
+        OrderKind::LoadModel => settings.model_load_ms,
+        OrderKind::LoadAdapter => lock(&service.batch).load_adapter(&name, &settings),
+        OrderKind::UnloadAdapter => {
+            lock(&service.batch).adapters.remove(&name);
+            0
+        }
+        OrderKind::SetRole => {
+            lock(&service.orders).role.clone_from(&name);
+            0
+        }
+    };
+    sleep(Duration::from_millis(wait_ms)).await;
+    if matches!(request.order.kind, OrderKind::LoadModel) {
+        lock(&service.orders).models.insert(name);
+    }
+    Json(json!({})).into_response()
+}
+
+async fn export_kv(State(service): State<Arc<Service>>, Path(prefix): Path<String>) -> Response {
+    let Ok(hash) = u64::from_str_radix(&prefix, 16) else {
+        return error(
+            StatusCode::BAD_REQUEST,
+            "prefix hash has 16 hexadecimal digits",
+        );
+    };
+    if !lock(&service.batch).cache.contains(hash) {
+        return error(StatusCode::NOT_FOUND, "prefix is not cached");
+    }
+    vec![0; KV_EXPORT_BYTES].into_response()
+}
+
+async fn import_kv(
+    State(service): State<Arc<Service>>,
+    Path(prefix): Path<String>,
+    _kv: Bytes,
+) -> Response {
+    let Ok(hash) = u64::from_str_radix(&prefix, 16) else {
+        return error(
+            StatusCode::BAD_REQUEST,
+            "prefix hash has 16 hexadecimal digits",
+        );
+    };
+    let settings = service.settings.get();
+    let faults = EventFaults {
+        now_ms: whole_ms(service.now_ms()),
+        gap_probability: settings.event_gap_probability,
+    };
+    lock(&service.batch)
+        .cache
+        .store(&[hash], settings.cache_blocks, faults);
+    Json(json!({})).into_response()
+}
+
+async fn stats(State(service): State<Arc<Service>>) -> Json<Value> {
+    let mut answer = {
+        let batch = lock(&service.batch);
+        let adapters: Vec<&String> = batch.adapters.keys().collect();
+        json!({ "runs": batch.stats, "adapters": adapters })
+    };
+    let orders = lock(&service.orders);
+    answer["models"] = json!(orders.models);
+    answer["role"] = json!(orders.role);
+    answer["orders"] = json!(orders.accepted);
+    Json(answer)
+}
+
+impl Service {
+    fn submit(
+        &self,
+        request: &ChatRequest,
+        adapter: Option<String>,
+        headers: &HeaderMap,
+    ) -> Arc<Run> {
+        let mut prompt = String::new();
+        for message in &request.messages {
+            prompt.push_str(&message.content);
+        }
+        let (tokens, finish) = self.length(request);
+        let id = headers.get("x-request-id").and_then(|id| id.to_str().ok());
+        let job = Job {
+            id: id.map_or_else(|| format!("{:016x}", rand::random::<u64>()), str::to_owned),
+            priority: request.priority,
+            prompt_bytes: prompt.len(),
+            prefixes: prefix_hashes(&prompt),
+            text_seed: text_seed(&request.model, &prompt),
+            tokens,
+            finish,
+            adapter,
+        };
+        let run = lock(&self.batch).submit(job);
+        self.submitted.notify_one();
+        run
+    }
+
+    /// Returns how many tokens the answer gets and why it ends there.
+    fn length(&self, request: &ChatRequest) -> (u64, Finish) {
+        let natural = match (request.standin_tokens, request.max_tokens) {
+            (Some(tokens), _) | (None, Some(tokens)) => tokens,
+            (None, None) => DEFAULT_TOKENS,
+        };
+        match request.max_tokens {
+            Some(max_tokens) if max_tokens <= natural => {
+                let overrun_tokens = self.settings.get().overrun_tokens;
+                (max_tokens + overrun_tokens, Finish::Length)
+            }
+            _ => (natural, Finish::Stop),
+        }
+    }
+
+    /// Takes an order, or returns the newer fencing number that forbids it.
+    fn accept(&self, request: &OrderRequest, fencing: Fencing) -> Result<(), u64> {
+        let mut orders = lock(&self.orders);
+        if fencing == Fencing::Refuse && request.fence < orders.highest_fence {
+            return Err(orders.highest_fence);
+        }
+        orders.highest_fence = orders.highest_fence.max(request.fence);
+        let accepted = json!({ "fence": request.fence, "order": request.order });
+        orders.accepted.push(accepted);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine_batch.rs
@@ -0,0 +1,315 @@
+//! The engine's queue and batch: which requests run and which tokens they have.
+
+use crate::{
+    engine::Settings,
+    prefix_cache::{BLOCK_BYTES, EventFaults, PrefixCache},
+};
+use serde::Serialize;
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::Arc,
+};
+use tokio::sync::watch;
+
+/// Bytes of a prompt that make one token.
+const TOKEN_BYTES: usize = 4;
+
+/// What a request asks of the batch.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) id: String,
+    pub(crate) priority: u32,
+    pub(crate) prompt_bytes: usize,
+    pub(crate) prefixes: Vec<u64>,
+    pub(crate) text_seed: u64,
+    pub(crate) tokens: u64,
+    pub(crate) finish: Finish,
+    pub(crate) adapter: Option<String>,
+}
+
+/// Why an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Finish {
+    Stop,
+    Length,
+    Cancelled,
+}
+
+/// How far an answer is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Progress {
+    pub(crate) produced: u64,
+    pub(crate) finish: Option<Finish>,
+}
+
+/// An accepted request.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) job: Job,
+    pub(crate) progress: watch::Sender<Progress>,
+}
+
+/// What tests want to know of the requests with one id.
+#[derive(Debug, Default, Clone, Serialize)]
+pub(crate) struct RunStats {
+    pub(crate) runs: u64,
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    prefix_hit_tokens: u64,
+    finish: Option<Finish>,
+}
+
+/// The load of the engine at one moment.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(crate) struct Load {
+    pub(crate) running: usize,
+    waiting: usize,
+    kv_used_tokens: u64,
+    kv_total_tokens: u64,
+    at_ms: u64,
+}
+
+/// The state of the engine.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    pub(crate) runs: HashMap<String, Arc<Run>>,
+    pub(crate) cache: PrefixCache,
+    pub(crate) stats: BTreeMap<String, RunStats>,
+    /// Adapters in memory and the number of the last run that used each.
+    pub(crate) adapters: BTreeMap<String, u64>,
+    waiting: BTreeMap<(u32, u64), Arc<Run>>,
+    running: Vec<Active>,
+    finished: VecDeque<(f64, Arc<Run>)>,
+    uses: u64,
+    prefill_free_at_ms: f64,
+}
+
+/// A member of the batch.
+#[derive(Debug)]
+struct Active {
+    run: Arc<Run>,
+    ready_at_ms: f64,
+}
+
+impl Batch {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            runs: HashMap::new(),
+            cache: PrefixCache::new(seed),
+            stats: BTreeMap::new(),
+            adapters: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            finished: VecDeque::new(),
+            uses: 0,
+            prefill_free_at_ms: 0.0,
+        }
+    }
+
+    /// Puts a request into the queue.
+    pub(crate) fn submit(&mut self, job: Job) -> Arc<Run> {
+        let stats = self.stats.entry(job.id.clone()).or_default();
+        stats.runs += 1;
+        stats.prompt_tokens = tokens_of(job.prompt_bytes);
+        stats.completion_tokens = 0;
+        stats.prefix_hit_tokens = 0;
+        stats.finish = None;
+        self.uses += 1;
+        let key = (job.priority, self.uses);
+        let progress = watch::Sender::new(Progress {
+            produced: 0,
+            finish: None,
+        });
+        let run = Arc::new(Run { job, progress });
+        self.runs.insert(run.job.id.clone(), Arc::clone(&run));
+        self.waiting.insert(key, Arc::clone(&run));
+        run
+    }
+
+    /// Ends a request and returns its progress, if it is known.
+    pub(crate) fn cancel(&mut self, id: &str, now_ms: f64) -> Option<Progress> {
+        let run = Arc::clone(self.runs.get(id)?);
+        if !run.is_finished() {
+            self.finish(&run, Finish::Cancelled, now_ms);
+            self.waiting
+                .retain(|_, waiting| !Arc::ptr_eq(waiting, &run));
+            self.running
+                .retain(|active| !Arc::ptr_eq(&active.run, &run));
+        }
+        Some(run.progress())
+    }
+
+    /// Admits requests and gives each running one a token; returns the length of the step, or
+    /// nothing when no request runs.
+    pub(crate) fn step(&mut self, settings: &Settings, now_ms: f64) -> Option<f64> {
+        self.forget(settings, now_ms);
+        self.admit(settings, now_ms);
+        if self.running.is_empty() {
+            return None;
+        }
+        let running = self.running.len() as f64;
+        let mut active = std::mem::take(&mut self.running);
+        active.retain(|active| active.ready_at_ms > now_ms || !self.decode(&active.run, now_ms));
+        self.running = active;
+        Some(settings.decode_ms + running * settings.decode_per_running_us as f64 / 1000.0)
+    }
+
+    /// Brings an adapter into memory and returns how long that takes.
+    pub(crate) fn load_adapter(&mut self, name: &str, settings: &Settings) -> u64 {
+        self.uses += 1;
+        if self.adapters.insert(name.to_owned(), self.uses).is_some() {
+            return 0;
+        }
+        while self.adapters.len() > settings.adapter_slots.max(1) {
+            let Some(unused) = self.unused_adapter(name) else {
+                break;
+            };
+            self.adapters.remove(&unused);
+        }
+        settings.adapter_load_ms
+    }
+
+    pub(crate) fn load(&self, settings: &Settings, now_ms: u64) -> Load {
+        Load {
+            running: self.running.len(),
+            waiting: self.waiting.len(),
+            kv_used_tokens: self.kv_used_tokens(),
+            kv_total_tokens: settings.kv_total_tokens,
+            at_ms: now_ms,
+        }
+    }
+
+    fn admit(&mut self, settings: &Settings, now_ms: f64) {
+        while self.running.len() < settings.max_running {
+            let Some((key, run)) = self.waiting.pop_first() else {
+                return;
+            };
+            let needed_tokens = tokens_of(run.job.prompt_bytes) + run.job.tokens;
+            let is_full = self.kv_used_tokens() + needed_tokens > settings.kv_total_tokens;
+            if is_full && !self.running.is_empty() {
+                self.waiting.insert(key, run);
+                return;
+            }
+            let ready_at_ms = self.prefill(&run.job, settings, now_ms);
+            self.running.push(Active { run, ready_at_ms });
+        }
+    }
+
+    /// Stores the prompt in the cache and returns when its first token can come.
+    fn prefill(&mut self, job: &Job, settings: &Settings, now_ms: f64) -> f64 {
+        let faults = EventFaults {
+            now_ms: whole_ms(now_ms),
+            gap_probability: settings.event_gap_probability,
+        };
+        let cached = self
+            .cache
+            .store(&job.prefixes, settings.cache_blocks, faults);
+        let hit_tokens = tokens_of(cached * BLOCK_BYTES);
+        if let Some(stats) = self.stats.get_mut(&job.id) {
+            stats.prefix_hit_tokens = hit_tokens;
+        }
+        let load_ms = match &job.adapter {
+            Some(adapter) => self.load_adapter(adapter, settings),
+            None => 0,
+        };
+        let new_tokens = tokens_of(job.prompt_bytes) - hit_tokens;
+        let cost_ms = new_tokens as f64 * settings.prefill_ms_per_1k_tokens as f64 / 1000.0;
+        // Prompts are processed one after another.
+        self.prefill_free_at_ms = self.prefill_free_at_ms.max(now_ms) + cost_ms;
+        self.prefill_free_at_ms + load_ms as f64
+    }
+
+    /// Gives a request one token and returns whether it was the last.
+    fn decode(&mut self, run: &Arc<Run>, now_ms: f64) -> bool {
+        let produced = (run.progress().produced + 1).min(run.job.tokens);
+        run.progress
+            .send_modify(|progress| progress.produced = produced);
+        let is_last = produced == run.job.tokens;
+        if is_last {
+            self.finish(run, run.job.finish, now_ms);
+        }
+        is_last
+    }
+
+    fn finish(&mut self, run: &Arc<Run>, finish: Finish, now_ms: f64) {
+        run.progress
+            .send_modify(|progress| progress.finish = Some(finish));
+        self.finished.push_back((now_ms, Arc::clone(run)));
+        if let Some(stats) = self.stats.get_mut(&run.job.id) {
+            stats.completion_tokens = run.progress().produced;
+            stats.finish = Some(finish);
+        }
+    }
+
+    /// Forgets requests that ended long ago.
+    fn forget(&mut self, settings: &Settings, now_ms: f64) {
+        while let Some((finished_at_ms, run)) = self.finished.front() {
+            if finished_at_ms + settings.finished_kept_ms as f64 > now_ms {
+                return;
+            }
+            let id = &run.job.id;
+            // A later run of the same id stays.
+            if self
+                .runs
+                .get(id)
+                .is_some_and(|latest| Arc::ptr_eq(latest, run))
+            {
+                self.runs.remove(id);
+            }
+            self.finished.pop_front();
+        }
+    }
+
+    fn kv_used_tokens(&self) -> u64 {
+        let mut used = 0;
+        for active in &self.running {
+            used += tokens_of(active.run.job.prompt_bytes) + active.run.progress().produced;
+        }
+        used
+    }
+
+    fn unused_adapter(&self, keep: &str) -> Option<String> {
+        let mut oldest: Option<(&String, u64)> = None;
+        for (name, used) in &self.adapters {
+            let is_used = self
+                .running
+                .iter()
+                .any(|active| active.run.uses_adapter(name));
+            if is_used || name == keep || oldest.is_some_and(|(_, least)| least <= *used) {
+                continue;
+            }
+            oldest = Some((name, *used));
+        }
+        oldest.map(|(name, _)| name.clone())
+    }
+}
+
+impl Run {
+    pub(crate) fn progress(&self) -> Progress {
+        *self.progress.borrow()
+    }
+
+    fn is_finished(&self) -> bool {
+        self.progress().finish.is_some()
+    }
+
+    fn uses_adapter(&self, name: &str) -> bool {
+        self.job.adapter.as_deref() == Some(name)
+    }
+}
+
+/// Returns the tokens that a text of `size_bytes` counts.
+pub(crate) fn tokens_of(size_bytes: usize) -> u64 {
+    size_bytes.div_ceil(TOKEN_BYTES) as u64
+}
+
+/// Returns the whole milliseconds of a time that is never negative.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "never negative"
+)]
+pub(crate) fn whole_ms(time_ms: f64) -> u64 {
+    time_ms as u64
+}
--- /dev/null
+++ b/crates/standins/src/engine_stream.rs
@@ -0,0 +1,141 @@
+//! An answer of the engine as JSON or as server-sent events.
+
+use crate::{
+    engine_batch::{Finish, Progress, Run, tokens_of},
+    engine_text::token_text,
+};
+use axum::{
+    body::Body,
+    response::{IntoResponse, Response},
+};
+use bytes::Bytes;
+use futures_util::stream;
+use serde_json::{Value, json};
+use std::{convert::Infallible, sync::Arc};
+use tokio::sync::watch;
+
+/// The state of one answer stream.
+#[derive(Debug)]
+pub(crate) struct AnswerStream {
+    run: Arc<Run>,
+    progress: watch::Receiver<Progress>,
+    next: u64,
+    miscount_tokens: i64,
+    is_done: bool,
+}
+
+impl AnswerStream {
+    pub(crate) fn new(run: Arc<Run>, from_token: u64, miscount_tokens: i64) -> Self {
+        let progress = run.progress.subscribe();
+        Self {
+            run,
+            progress,
+            next: from_token,
+            miscount_tokens,
+            is_done: false,
+        }
+    }
+
+    pub(crate) fn into_response(self) -> Response {
+        let id = self.run.job.id.clone();
+        let events = stream::unfold(self, |mut answer| async move {
+            let events = answer.events().await?;
+            Some((Ok::<_, Infallible>(events), answer))
+        });
+        let headers = [
+            ("content-type", "text/event-stream"),
+            ("x-request-id", id.as_str()),
+        ];
+        (headers, Body::from_stream(events)).into_response()
+    }
+
+    pub(crate) async fn wait_finished(&mut self) {
+        // The run holds the sender, so the wait has no error.
+        drop(
+            self.progress
+                .wait_for(|progress| progress.finish.is_some())
+                .await,
+        );
+    }
+
+    /// Waits for new tokens or the end and returns them as events.
+    async fn events(&mut self) -> Option<Bytes> {
+        if self.is_done {
+            return None;
+        }
+        let next = self.next;
+        let has_news = |progress: &Progress| progress.produced > next || progress.finish.is_some();
+        let progress = *self.progress.wait_for(has_news).await.ok()?;
+        let mut text = String::new();
+        while self.next < progress.produced {
+            self.push_token(&mut text);
+        }
+        if let Some(finish) = progress.finish {
+            self.push_end(&mut text, finish);
+        }
+        Some(Bytes::from(text))
+    }
+
+    fn push_token(&mut self, text: &mut String) {
+        let token = token_text(self.run.job.text_seed, self.next);
+        let choice = json!({ "index": 0, "delta": { "content": token }, "finish_reason": null });
+        push_event(
+            text,
+            &json!({
+                "id": self.run.job.id,
+                "object": "chat.completion.chunk",
+                "token": self.next,
+                "choices": [choice],
+            }),
+        );
+        self.next += 1;
+    }
+
+    fn push_end(&mut self, text: &mut String, finish: Finish) {
+        let choice = json!({ "index": 0, "delta": {}, "finish_reason": finish });
+        push_event(
+            text,
+            &json!({
+                "id": self.run.job.id,
+                "object": "chat.completion.chunk",
+                "choices": [choice],
+                "usage": self.usage(),
+            }),
+        );
+        text.push_str("data: [DONE]\n\n");
+        self.is_done = true;
+    }
+
+    pub(crate) fn whole(&self, model: &str) -> Value {
+        let progress = self.run.progress();
+        let mut text = String::new();
+        for index in 0..progress.produced {
+            text.push_str(&token_text(self.run.job.text_seed, index));
+        }
+        let message = json!({ "role": "assistant", "content": text });
+        json!({
+            "id": self.run.job.id,
+            "object": "chat.completion",
+            "model": model,
+            "choices": [{ "index": 0, "message": message, "finish_reason": progress.finish }],
+            "usage": self.usage(),
+        })
+    }
+
+    fn usage(&self) -> Value {
+        let prompt_tokens = tokens_of(self.run.job.prompt_bytes);
+        let produced = self.run.progress().produced;
+        let completion_tokens = produced.saturating_add_signed(self.miscount_tokens);
+        json!({
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": completion_tokens,
+            "total_tokens": prompt_tokens + completion_tokens,
+        })
+    }
+}
+
+fn push_event(text: &mut String, event: &Value) {
+    text.push_str("data: ");
+    text.push_str(&event.to_string());
+    text.push_str("\n\n");
+}
--- /dev/null
+++ b/crates/standins/src/host_list.rs
@@ -0,0 +1,180 @@
+//! The platform's host list, which shows edits after a lag.
+
+use crate::{
+    Outage,
+    server::{self, Live},
+};
+use axum::{
+    Json, Router,
+    extract::{Path, Query, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, put},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::{
+    collections::BTreeMap,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, sleep_until, timeout},
+};
+
+/// A running host list.
+pub type Handle = crate::Handle<Settings>;
+
+/// Settings and faults of the host list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// The address to listen at.
+    pub listen: SocketAddr,
+    /// How long an edit takes to appear.
+    pub lag_ms: u64,
+    /// Whether and how reads are out.
+    pub outage: Outage,
+    /// The hosts listed at the start.
+    pub hosts: Vec<Host>,
+}
+
+/// One host of the list.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Host {
+    /// The name of the host.
+    pub name: String,
+    /// Where the process of the system listens there.
+    pub address: SocketAddr,
+    /// `router` or `sidecar`.
+    pub role: String,
+    /// The availability zone.
+    pub availability_zone: String,
+    /// The region.
+    pub region: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+#[derive(Debug)]
+struct Service {
+    settings: Arc<Live<Settings>>,
+    list: watch::Sender<List>,
+    edits: mpsc::UnboundedSender<Edit>,
+}
+
+#[derive(Debug, Default)]
+struct List {
+    version: u64,
+    hosts: BTreeMap<String, Host>,
+}
+
+#[derive(Debug)]
+struct Edit {
+    visible_at: Instant,
+    name: String,
+    host: Option<Host>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    since: Option<u64>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// Starts a host list.
+///
+/// # Errors
+///
+/// Fails when the address can't be bound.
+pub async fn start(settings: Settings) -> io::Result<Handle> {
+    let listen = settings.listen;
+    let mut list = List::default();
+    for host in &settings.hosts {
+        list.hosts.insert(host.name.clone(), host.clone());
+    }
+    let list = watch::Sender::new(list);
+    let (edits, received) = mpsc::unbounded_channel();
+    // Ends when the last sender drops with the service.
+    tokio::spawn(show_edits(received, list.clone()));
+    let settings = Live::new(settings);
+    let service = Service {
+        settings: Arc::clone(&settings),
+        list,
+        edits,
+    };
+    let router = Router::new()
+        .route("/v1/hosts", get(read))
+        .route("/v1/hosts/{name}", put(edit).delete(remove))
+        .with_state(Arc::new(service));
+    server::start(listen, settings, router).await
+}
+
+async fn read(State(service): State<Arc<Service>>, Query(query): Query<ListQuery>) -> Response {
+    let outage = service.settings.get().outage;
+    if let Some(answer) = outage.answer().await {
+        return answer;
+    }
+    let mut list = service.list.subscribe();
+    let limit = Duration::from_millis(query.wait_ms);
+    let is_new = |list: &List| Some(list.version) != query.since;
+    // A timeout leaves the version as it is, and the answer says so.
+    drop(timeout(limit, list.wait_for(is_new)).await);
+    let list = list.borrow();
+    let hosts: Vec<&Host> = list.hosts.values().collect();
+    Json(json!({ "version": list.version, "hosts": hosts })).into_response()
+}
+
+async fn edit(
+    State(service): State<Arc<Service>>,
+    Path(name): Path<String>,
+    Json(host): Json<Host>,
+) -> StatusCode {
+    service.submit(name, Some(host))
+}
+
+async fn remove(State(service): State<Arc<Service>>, Path(name): Path<String>) -> StatusCode {
+    service.submit(name, None)
+}
+
+async fn show_edits(mut edits: mpsc::UnboundedReceiver<Edit>, list: watch::Sender<List>) {
+    while let Some(edit) = edits.recv().await {
+        sleep_until(edit.visible_at).await;
+        list.send_modify(|list| {
+            list.version += 1;
+            match edit.host {
+                Some(host) => list.hosts.insert(edit.name, host),
+                None => list.hosts.remove(&edit.name),
+            };
+        });
+    }
+}
+
+impl Service {
+    fn submit(&self, name: String, host: Option<Host>) -> StatusCode {
+        let visible_at = Instant::now() + Duration::from_millis(self.settings.get().lag_ms);
+        match self.edits.send(Edit {
+            visible_at,
+            name,
+            host,
+        }) {
+            Ok(()) => StatusCode::OK,
+            Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            lag_ms: 0,
+            outage: Outage::None,
+            hosts: Vec::new(),
+        }
+    }
+}
--- a/crates/standins/src/log_service.rs
+++ b/crates/standins/src/log_service.rs
@@ -1,6 +1,10 @@
 //! The platform's append-only log service.
 
-use crate::server::{self, Live, error, lock, lost, retry_after};
+use crate::{
+    Outage,
+    rate_limit::RateLimit,
+    server::{self, Live, error, lock, lost, retry_after},
+};
 use axum::{
     Json, Router,
     extract::{DefaultBodyLimit, Path, Query, Request, State},
@@ -32,25 +36,9 @@
 /// What a read returns at most when it does not say.
 const DEFAULT_READ_BYTES: u64 = 1 << 20;
 
-/// The seconds of unused allowance that appends may use up at once.
-const BURST_S: f64 = 0.2;
-
 /// A running log service.
 pub type Handle = crate::Handle<Settings>;
 
-/// How the service answers while it is out.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Outage {
-    /// The service is up.
-    #[default]
-    None,
-    /// Every call gets `503`.
-    Refuse,
-    /// No call gets an answer or has an effect.
-    Hang,
-}
-
 /// Settings and faults of the log service.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -82,8 +70,7 @@
 #[derive(Debug)]
 struct Log {
     streams: HashMap<String, Stream>,
-    allowance: f64,
-    refilled: Instant,
+    limit: RateLimit,
     random: StdRng,
     appends: u64,
     bytes: u64,
@@ -116,8 +103,7 @@
     let listen = settings.listen;
     let log = Log {
         streams: HashMap::new(),
-        allowance: burst(settings.appends_per_s),
-        refilled: Instant::now(),
+        limit: RateLimit::new(settings.appends_per_s),
         random: StdRng::seed_from_u64(settings.seed),
         appends: 0,
         bytes: 0,
@@ -139,10 +125,8 @@
 }
 
 async fn be_out(State(service): State<Arc<Service>>, request: Request, next: Next) -> Response {
-    match service.settings.get().outage {
-        Outage::None => {}
-        Outage::Refuse => return retry_after(StatusCode::SERVICE_UNAVAILABLE, "outage", 100),
-        Outage::Hang => std::future::pending().await,
+    if let Some(answer) = service.settings.get().outage.answer().await {
+        return answer;
     }
     let response = next.run(request).await;
     let delay_ms = service.settings.get().delay_ms;
@@ -162,8 +146,8 @@
     }
     let settings = service.settings.get();
     let mut log = lock(&service.state);
-    if !log.admit(settings.appends_per_s) {
-        let wait_ms = 1000 / settings.appends_per_s.max(1) + 1;
+    if let Err(wait_ms) = log.limit.admit(settings.appends_per_s) {
+        log.refused += 1;
         return retry_after(StatusCode::TOO_MANY_REQUESTS, "too many appends", wait_ms);
     }
     log.appends += 1;
@@ -223,25 +207,6 @@
     Json(json!({ "appends": log.appends, "bytes": log.bytes, "refused": log.refused }))
 }
 
-fn burst(appends_per_s: u64) -> f64 {
-    (appends_per_s as f64 * BURST_S).max(1.0)
-}
-
-impl Log {
-    fn admit(&mut self, appends_per_s: u64) -> bool {
-        let now = Instant::now();
-        let refill = (now - self.refilled).as_secs_f64() * appends_per_s as f64;
-        self.refilled = now;
-        self.allowance = (self.allowance + refill).min(burst(appends_per_s));
-        if self.allowance < 1.0 {
-            self.refused += 1;
-            return false;
-        }
-        self.allowance -= 1.0;
-        true
-    }
-}
-
 impl Stream {
     fn next(&self) -> u64 {
         self.first + self.records.len() as u64
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -10,7 +10,7 @@
 };
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{rt::TokioIo, service::TowerToHyperService};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::{Value, json};
 use std::{
     io,
@@ -19,6 +19,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::{AbortHandle, JoinSet},
 };
 
@@ -34,22 +35,70 @@
 impl<S: Clone> Handle<S> {
     /// Changes the settings of the running stand-in.
     pub fn change(&self, change: impl FnOnce(&mut S)) {
-        change(&mut lock(&self.settings.0));
+        self.settings.change(change);
     }
 }
 
 /// Settings that may change at any time.
 #[derive(Debug)]
-pub(crate) struct Live<S>(Mutex<S>);
+pub(crate) struct Live<S> {
+    current: watch::Sender<S>,
+    after_change: fn(&mut S),
+}
 
 impl<S: Clone> Live<S> {
     pub(crate) fn new(settings: S) -> Arc<Self> {
-        Arc::new(Self(Mutex::new(settings)))
+        Self::with_hook(settings, |_| {})
+    }
+
+    /// Makes settings on which `after_change` acts whenever they were changed.
+    pub(crate) fn with_hook(settings: S, after_change: fn(&mut S)) -> Arc<Self> {
+        Arc::new(Self {
+            current: watch::Sender::new(settings),
+            after_change,
+        })
     }
 
     /// Returns the settings as they are now.
     pub(crate) fn get(&self) -> S {
-        lock(&self.0).clone()
+        self.current.borrow().clone()
+    }
+
+    /// Returns a receiver that sees the settings change.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<S> {
+        self.current.subscribe()
+    }
+
+    /// Changes the settings.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut S)) {
+        self.current.send_modify(|settings| {
+            change(settings);
+            (self.after_change)(settings);
+        });
+    }
+}
+
+/// How a stand-in answers while it is out.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// It is up.
+    #[default]
+    None,
+    /// Every call gets `503`.
+    Refuse,
+    /// No call gets an answer or has an effect.
+    Hang,
+}
+
+impl Outage {
+    /// Returns the answer in place of the usual one, if there is an outage.
+    pub(crate) async fn answer(self) -> Option<Response> {
+        match self {
+            Self::None => None,
+            Self::Refuse => Some(retry_after(StatusCode::SERVICE_UNAVAILABLE, "outage", 100)),
+            Self::Hang => std::future::pending().await,
+        }
     }
 }
 
@@ -74,7 +123,7 @@
     router: Router,
 ) -> io::Result<Handle<S>>
 where
-    S: Clone + Serialize + DeserializeOwned + Send + 'static,
+    S: Clone + Serialize + DeserializeOwned + Send + Sync + 'static,
 {
     let control = Router::new()
         .route("/control", post(control::<S>))
@@ -116,17 +165,24 @@
 where
     S: Clone + Serialize + DeserializeOwned,
 {
-    let mut settings = lock(&live.0);
-    match merged(&*settings, changes) {
+    match merged(&live.get(), changes) {
         Ok(changed) => {
-            *settings = changed;
+            live.change(|settings| *settings = changed);
             Json(json!({})).into_response()
         }
         Err(e) => error(StatusCode::BAD_REQUEST, &e.to_string()),
     }
 }
 
-fn merged<S: Serialize + DeserializeOwned>(settings: &S, changes: Value) -> serde_json::Result<S> {
+/// Returns the settings with the fields of the JSON object `changes` replaced.
+///
+/// # Errors
+///
+/// Fails when a field does not exist or has a value of another type.
+pub fn merged<S: Serialize + DeserializeOwned>(
+    settings: &S,
+    changes: Value,
+) -> serde_json::Result<S> {
     let mut value = serde_json::to_value(settings)?;
     if let (Value::Object(fields), Value::Object(changes)) = (&mut value, changes) {
         fields.extend(changes);
