Replace all pooled connections after a timeout

Cause: connections may go silent while new ones work. Each idle connection of the pool then cost one timeout: four connections, four failed appends.

Ruled out: no pool at all, a connection for each append; a shorter idle time, which doesn't help a busy client.

Change: a timeout leaves the whole pool and starts a new one; calls in progress on the old connections go on.

--- a/crates/mallowpath/src/http_call.rs
+++ b/crates/mallowpath/src/http_call.rs
@@ -10,7 +10,11 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Deserialize, de::DeserializeOwned};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 use tokio::time::timeout;
 
 /// The largest answer that is read.
@@ -19,11 +23,20 @@
 /// How long an unused connection is kept; short, since a silent one may be dead.
 const IDLE_CONNECTION_MS: u64 = 5_000;
 
-/// A client of one address, with a pool of connections.
+/// A client of one address, with a pool of connections that clones share.
 #[derive(Debug, Clone)]
 pub(crate) struct HttpCaller {
     address: SocketAddr,
+    connect_timeout_ms: u64,
+    /// A leaf lock, held for no more than a copy.
+    pool: Arc<Mutex<Pool>>,
+}
+
+/// The connections made since the last timeout.
+#[derive(Debug, Clone)]
+struct Pool {
     client: Client<HttpConnector, Full<Bytes>>,
+    generation: u64,
 }
 
 /// One call and what to say of it in errors.
@@ -52,25 +65,30 @@
 
 impl HttpCaller {
     pub(crate) fn new(address: SocketAddr, connect_timeout_ms: u64) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout_ms)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_millis(IDLE_CONNECTION_MS))
-            .build(connector);
-        Self { address, client }
+        let pool = Pool {
+            client: client(connect_timeout_ms),
+            generation: 0,
+        };
+        Self {
+            address,
+            connect_timeout_ms,
+            pool: Arc::new(Mutex::new(pool)),
+        }
     }
 
     /// Makes the call and returns its answer whatever the status.
     pub(crate) async fn call(&self, call: Call) -> Result<Answer> {
         let step = call.step;
         let limit = Duration::from_millis(call.timeout_ms);
-        match timeout(limit, self.exchange(call)).await {
+        let Pool { client, generation } = self.lock().clone();
+        match timeout(limit, self.exchange(client, call)).await {
             Ok(result) => result,
-            Err(e) => Err(self
-                .error(Category::Unknown, step, "no answer in time")
-                .with_source(e)),
+            Err(e) => {
+                self.replace_connections(generation);
+                Err(self
+                    .error(Category::Unknown, step, "no answer in time")
+                    .with_source(e))
+            }
         }
     }
 
@@ -108,7 +126,26 @@
         Error::new(category, step, self.address, message)
     }
 
-    async fn exchange(&self, call: Call) -> Result<Answer> {
+    /// Leaves the connections of a generation, since all may be silent when one is.
+    ///
+    /// Calls in progress on them go on.
+    fn replace_connections(&self, generation: u64) {
+        let mut pool = self.lock();
+        if pool.generation == generation {
+            pool.client = client(self.connect_timeout_ms);
+            pool.generation += 1;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn exchange(
+        &self,
+        client: Client<HttpConnector, Full<Bytes>>,
+        call: Call,
+    ) -> Result<Answer> {
         let step = call.step;
         let request = Request::builder()
             .method(call.method)
@@ -123,7 +160,7 @@
                     .with_source(e));
             }
         };
-        match self.client.request(request).await {
+        match client.request(request).await {
             Ok(response) => self.collect(step, response).await,
             Err(e) if e.is_connect() => Err(self
                 .error(Category::Refused, step, "can't connect")
@@ -150,3 +187,13 @@
         }
     }
 }
+
+fn client(connect_timeout_ms: u64) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(connect_timeout_ms)));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_millis(IDLE_CONNECTION_MS))
+        .build(connector)
+}
