--- a/crates/standins/src/engine_api.rs
+++ b/crates/standins/src/engine_api.rs
@@ -124,7 +124,7 @@
         return answer.into_response();
     }
     answer.wait_finished().await;
-    Json(answer.whole(&request.model)).into_response()
+    Json(answer.whole()).into_response()
 }
 
 async fn resume(
@@ -252,6 +252,7 @@
         let id = headers.get("x-request-id").and_then(|id| id.to_str().ok());
         let job = Job {
             id: id.map_or_else(|| format!("{:016x}", rand::random::<u64>()), str::to_owned),
+            model: request.model.clone(),
             priority: request.priority,
             prompt_bytes: prompt.len(),
             prefixes: prefix_hashes(&prompt),
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: String,
+    pub(crate) model: String,
     pub(crate) priority: u32,
     pub(crate) prompt_bytes: usize,
     pub(crate) prefixes: Vec<u64>,
--- a/crates/standins/src/engine_stream.rs
+++ b/crates/standins/src/engine_stream.rs
@@ -84,6 +84,7 @@
             &json!({
                 "id": self.run.job.id,
                 "object": "chat.completion.chunk",
+                "model": self.run.job.model,
                 "token": self.next,
                 "choices": [choice],
             }),
@@ -98,6 +99,7 @@
             &json!({
                 "id": self.run.job.id,
                 "object": "chat.completion.chunk",
+                "model": self.run.job.model,
                 "choices": [choice],
                 "usage": self.usage(),
             }),
@@ -106,7 +108,7 @@
         self.is_done = true;
     }
 
-    pub(crate) fn whole(&self, model: &str) -> Value {
+    pub(crate) fn whole(&self) -> Value {
         let progress = self.run.progress();
         let mut text = String::new();
         for index in 0..progress.produced {
@@ -116,7 +118,7 @@
         json!({
             "id": self.run.job.id,
             "object": "chat.completion",
-            "model": model,
+            "model": self.run.job.model,
             "choices": [{ "index": 0, "message": message, "finish_reason": progress.finish }],
             "usage": self.usage(),
         })
