--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -5,6 +5,7 @@
 mod error;
 mod fleet;
 mod fleet_read;
+mod host_client;
 mod http_call;
 mod id;
 mod ini;
@@ -24,6 +25,7 @@
     WhenUnconfirmed, Workspace,
 };
 pub use fleet_read::parse_tokens;
+pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
