Read process settings from INI

Cause: routers and sidecars learn their place, addresses and timeouts from one file, with the same report of issues as the configuration folder.

Ruled out: defaults for places and addresses, as a wrong default address would start a process in the wrong place; only tunables have defaults.

Change: settings (RouterSettings, SidecarSettings and their parts), and the operators' page docs/SETTINGS.md.

--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -8,6 +8,7 @@
 mod issue;
 mod replay;
 mod section;
+mod settings;
 
 pub use change::{
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
@@ -26,3 +27,6 @@
 pub use issue::{Issue, IssueReport, Place};
 pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
 pub use section::{Section, SectionName, Sections, sections_of};
+pub use settings::{
+    HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+};
--- a/crates/mallowpath/src/section.rs
+++ b/crates/mallowpath/src/section.rs
@@ -126,9 +126,14 @@
         self.parse_with(key, expected, |text| text.parse().ok())
     }
 
+    /// Returns whether the section sets `key`.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        self.entries.contains_key(key)
+    }
+
     /// Notes an issue where `key` is absent.
     pub(crate) fn require(&mut self, key: &str, expected: &str) {
-        if !self.entries.contains_key(key) {
+        if !self.has(key) {
             self.reject(key, expected);
         }
     }
--- /dev/null
+++ b/crates/mallowpath/tests/settings.rs
@@ -0,0 +1,95 @@
+//! Settings of processes: defaults, the report of a broken file and the operators' page.
+
+use expect_test::expect;
+use mallowpath::{
+    IniDocument, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+};
+
+const PLACE: &str = "name = r1\nzone = dk-a\nregion = dk\npeer_listen = 127.0.0.1:7001
+admin_listen = 127.0.0.1:7002\nlog_service = 127.0.0.1:9001\nhost_list = 127.0.0.1:9002\n";
+
+fn document(section: &str, text: &str) -> IniDocument {
+    let mut document = IniDocument::default();
+    document.merge_text("p.ini", &format!("[{section}]\n{PLACE}{text}"));
+    document
+}
+
+#[test]
+fn absent_keys_have_their_defaults() {
+    let document = document("router", "callers_listen = 127.0.0.1:7000\nslice_ms = 1k");
+    let settings = RouterSettings::from_document(&document).expect("valid settings");
+    assert_eq!(settings.host.zone.as_str(), "dk-a");
+    assert_eq!(settings.timing, PeerTiming::default());
+    assert_eq!(
+        settings.tuning,
+        RouterTuning {
+            slice_ms: 1_000,
+            ..RouterTuning::default()
+        }
+    );
+}
+
+#[test]
+fn a_sidecar_knows_its_backend() {
+    let text = "backend = e1\nbackend_address = 127.0.0.1:8000\nservice = notices";
+    let settings =
+        SidecarSettings::from_document(&document("sidecar", text)).expect("valid settings");
+    assert_eq!(settings.backend.as_str(), "e1");
+    assert_eq!(settings.tuning, SidecarTuning::default());
+}
+
+#[test]
+fn a_broken_file_is_reported_in_one_go() {
+    let text = "callers_listen = 127.0.0.1:7001\nheartbeat_ms = 5000\nslice_ms = 0
+hedaer_timeout_ms = 5\n[sidecar]\n";
+    let report = RouterSettings::from_document(&document("router", text)).expect_err("broken");
+    expect![[r#"
+        p.ini:5: [router] peer_listen = "127.0.0.1:7001": expected an address other than that of callers_listen
+        p.ini:10: [router] heartbeat_ms = "5000": expected at most half of peer_timeout_ms, which is 3000
+        p.ini:11: [router] slice_ms = "0": expected a whole number from 1 to 3600000, such as 1_000, 5k or 2M
+        p.ini:12: [router] hedaer_timeout_ms = "5": expected one of the keys name, zone, region, peer_listen, admin_listen, log_service, host_list, callers_listen, heartbeat_ms, peer_timeout_ms, connect_timeout_ms, platform_timeout_ms, platform_wait_ms, header_timeout_ms, body_timeout_ms, bill_batch_ms, slice_ms, sidecars_per_service, max_waiting; did you mean "header_timeout_ms"?
+        p.ini:13: [sidecar] "sidecar": expected the section [router]"#]].assert_eq(&report.to_string());
+}
+
+#[test]
+fn an_empty_file_is_reported() {
+    let mut document = IniDocument::default();
+    document.merge_text("p.ini", "[router]\ncallers_listen = localhost:80");
+    let report = RouterSettings::from_document(&document).expect_err("incomplete");
+    expect![[r#"
+        p.ini:1: [router] admin_listen is missing: expected an IP address and port, such as 10.0.0.1:8080
+        p.ini:1: [router] host_list is missing: expected an IP address and port, such as 10.0.0.1:8080
+        p.ini:1: [router] log_service is missing: expected an IP address and port, such as 10.0.0.1:8080
+        p.ini:1: [router] name is missing: expected a name of letters, digits and - _ . / :
+        p.ini:1: [router] peer_listen is missing: expected an IP address and port, such as 10.0.0.1:8080
+        p.ini:1: [router] region is missing: expected a name of letters, digits and - _ . / :
+        p.ini:1: [router] zone is missing: expected a name of letters, digits and - _ . / :
+        p.ini:2: [router] callers_listen = "localhost:80": expected an IP address and port, such as 10.0.0.1:8080"#]].assert_eq(&report.to_string());
+    let report = SidecarSettings::from_document(&IniDocument::default()).expect_err("empty");
+    expect!["[sidecar] is wrong: expected this section"].assert_eq(&report.to_string());
+}
+
+#[test]
+fn the_page_names_every_key_and_no_other() {
+    let page = include_str!("../../../docs/SETTINGS.md");
+    let mut known = RouterSettings::keys();
+    known.extend(SidecarSettings::keys());
+    for key in &known {
+        assert!(
+            page.contains(&format!("\n| `{key}` |")),
+            "{key} is not on the page"
+        );
+    }
+    for line in page.lines() {
+        let Some(key) = line
+            .strip_prefix("| `")
+            .and_then(|rest| rest.split('`').next())
+        else {
+            continue;
+        };
+        assert!(
+            known.contains(&key),
+            "the page names {key}, which is no key"
+        );
+    }
+}
