--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -290,10 +290,16 @@
 #[cold]
 fn reject_timing(reader: &mut Reader<'_>, timing: &PeerTiming) {
     if reader.has("peer_timeout_ms") {
-        let expected = format!("at least twice heartbeat_ms, which is {}", timing.heartbeat_ms);
+        let expected = format!(
+            "at least twice heartbeat_ms, which is {}",
+            timing.heartbeat_ms
+        );
         return reader.reject("peer_timeout_ms", &expected);
     }
-    let expected = format!("at most half of peer_timeout_ms, which is {}", timing.peer_timeout_ms);
+    let expected = format!(
+        "at most half of peer_timeout_ms, which is {}",
+        timing.peer_timeout_ms
+    );
     reader.reject("heartbeat_ms", &expected);
 }
 
