--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -13,6 +13,7 @@
 mod log_client;
 mod replay;
 mod section;
+mod settings;
 
 pub use backoff::Backoff;
 pub use change::{
@@ -35,3 +36,6 @@
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
 pub use section::{Section, SectionName, Sections, sections_of};
+pub use settings::{
+    HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+};
