Decide idempotency keys, membership, orders and runs

Cause: no request marked as not repeatable may run twice, across any loss of owner, witness, router or sidecar, and without trust in clocks.

Ruled out: a fence record alone as evidence for a forced claim. The old pair may be alive and cut off only from the log, and go on committing; so the evidence is the confirmed fence of both, and a sidecar refuses keyed runs whose owner is fenced. A bare join record: a delayed join of a dead sidecar would displace the live one, so a join names the incarnation that it follows.

Members, orders and the run table have no tests of their own in this commit.

--- a/crates/mallowpath/src/id.rs
+++ b/crates/mallowpath/src/id.rs
@@ -15,6 +15,13 @@
     expected: &'static str,
 }
 
+impl ParseIdError {
+    /// Makes the error from a description of what was expected.
+    pub(crate) const fn new(expected: &'static str) -> Self {
+        Self { expected }
+    }
+}
+
 impl Display for ParseIdError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "expected {}", self.expected)
--- /dev/null
+++ b/crates/mallowpath/src/members.rs
@@ -0,0 +1,318 @@
+//! Replay of the `members` stream: which sidecars exist and which processes are fenced.
+//!
+//! Validity is a function of the replayed prefix. A sidecar serves only after its own join was seen
+//! valid, and reads every fence before that join; so exactly the sidecars that joined before a fence
+//! have to confirm it.
+
+use crate::{Incarnation, Offset, Verdict};
+use std::collections::{BTreeMap, BTreeSet};
+use xxhash_rust::xxh3::Xxh3;
+
+/// A sidecar announces itself before it serves.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Join {
+    /// The incarnation of the sidecar.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// The name of its host, whose slot holds one process at a time.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// The address on which it serves.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its availability zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// The service of the backend server beside it.
+    #[prost(string, tag = "5")]
+    pub service: String,
+    /// The latest incarnation on the same host that the sidecar has read, 0 for none. It keeps a
+    /// delayed join of a dead process from displacing the live one.
+    #[prost(fixed64, tag = "6")]
+    pub previous: u64,
+}
+
+/// Asks every sidecar to refuse the requests of an incarnation and the keys that it committed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Fence {
+    /// The fenced process.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// The process that asks.
+    #[prost(fixed64, tag = "2")]
+    pub author: u64,
+}
+
+/// States that every sidecar that had to confirm a fence has done so.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct FenceDone {
+    /// The fenced process.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// [`confirmed_hash`] of the sidecars that confirmed.
+    #[prost(fixed64, tag = "2")]
+    pub confirmed_hash: u64,
+}
+
+/// A sidecar runs nothing and never will again.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Leave {
+    /// The sidecar, which writes this record itself.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+}
+
+/// A live sidecar in a checkpoint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JoinedAt {
+    /// The offset of the join.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// The join itself.
+    #[prost(message, optional, tag = "2")]
+    pub join: Option<Join>,
+}
+
+/// A fence in a checkpoint.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct FencedAt {
+    /// The fenced process.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// The offset of the fence.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// The offset of the record that found it confirmed.
+    #[prost(uint64, optional, tag = "3")]
+    pub done_offset: Option<u64>,
+}
+
+/// The state after a prefix, to be read in its place; records from `next_offset` on follow it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MembersCheckpoint {
+    /// The first offset that the state does not cover.
+    #[prost(uint64, tag = "1")]
+    pub next_offset: u64,
+    /// The live sidecars.
+    #[prost(message, repeated, tag = "2")]
+    pub joined: Vec<JoinedAt>,
+    /// The latest incarnation of each host, live or gone.
+    #[prost(btree_map = "string, fixed64", tag = "3")]
+    pub latest: BTreeMap<String, u64>,
+    /// All fences.
+    #[prost(message, repeated, tag = "4")]
+    pub fences: Vec<FencedAt>,
+}
+
+/// A record of the `members` stream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MembersRecord {
+    /// What the record says.
+    #[prost(oneof = "MembersChange", tags = "1, 2, 3, 4, 5")]
+    pub change: Option<MembersChange>,
+}
+
+/// What a record of the `members` stream says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum MembersChange {
+    /// A sidecar starts.
+    #[prost(message, tag = "1")]
+    Join(Join),
+    /// A process is to be refused.
+    #[prost(message, tag = "2")]
+    Fence(Fence),
+    /// A process is refused everywhere.
+    #[prost(message, tag = "3")]
+    FenceDone(FenceDone),
+    /// A sidecar ends.
+    #[prost(message, tag = "4")]
+    Leave(Leave),
+    /// The state so far.
+    #[prost(message, tag = "5")]
+    Checkpoint(MembersCheckpoint),
+}
+
+/// The replayed state of the `members` stream.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Members {
+    next: Offset,
+    live: BTreeMap<Incarnation, (Offset, Join)>,
+    latest: BTreeMap<String, Incarnation>,
+    fences: BTreeMap<Incarnation, FenceState>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct FenceState {
+    offset: Offset,
+    done: Option<Offset>,
+}
+
+impl Members {
+    /// Continues from a checkpoint; the next record to apply is the one at its `next_offset`.
+    pub fn from_checkpoint(checkpoint: &MembersCheckpoint) -> Self {
+        let mut members = Self {
+            next: Offset(checkpoint.next_offset),
+            ..Self::default()
+        };
+        for joined in &checkpoint.joined {
+            let Some(join) = &joined.join else { continue };
+            let entry = (Offset(joined.offset), join.clone());
+            members.live.insert(Incarnation(join.incarnation), entry);
+        }
+        for (name, incarnation) in &checkpoint.latest {
+            members
+                .latest
+                .insert(name.clone(), Incarnation(*incarnation));
+        }
+        for fence in &checkpoint.fences {
+            let done = fence.done_offset.map(Offset);
+            let state = FenceState {
+                offset: Offset(fence.offset),
+                done,
+            };
+            members.fences.insert(Incarnation(fence.incarnation), state);
+        }
+        members
+    }
+
+    /// Returns the checkpoint of the prefix applied so far.
+    pub fn checkpoint(&self) -> MembersCheckpoint {
+        let mut checkpoint = MembersCheckpoint {
+            next_offset: self.next.0,
+            ..MembersCheckpoint::default()
+        };
+        for (offset, join) in self.live.values() {
+            checkpoint.joined.push(JoinedAt {
+                offset: offset.0,
+                join: Some(join.clone()),
+            });
+        }
+        for (name, incarnation) in &self.latest {
+            checkpoint.latest.insert(name.clone(), incarnation.0);
+        }
+        for (incarnation, state) in &self.fences {
+            checkpoint.fences.push(FencedAt {
+                incarnation: incarnation.0,
+                offset: state.offset.0,
+                done_offset: state.done.map(|offset| offset.0),
+            });
+        }
+        checkpoint
+    }
+
+    /// Judges the record at an offset and applies it when it is valid.
+    pub fn apply(&mut self, offset: Offset, record: &MembersRecord) -> Verdict {
+        if offset < self.next {
+            return Verdict::Void;
+        }
+        if offset > self.next {
+            return Verdict::Behind;
+        }
+        self.next = Offset(offset.0 + 1);
+        let valid = match &record.change {
+            Some(MembersChange::Join(join)) => self.join(offset, join),
+            Some(MembersChange::Fence(fence)) => self.fence(offset, fence),
+            Some(MembersChange::FenceDone(done)) => self.fence_done(offset, done),
+            Some(MembersChange::Leave(leave)) => {
+                self.live.remove(&Incarnation(leave.incarnation)).is_some()
+            }
+            Some(MembersChange::Checkpoint(_)) | None => false,
+        };
+        if valid { Verdict::Valid } else { Verdict::Void }
+    }
+
+    /// Returns the next offset to apply.
+    pub fn next_offset(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the live sidecars.
+    pub fn sidecars(&self) -> impl Iterator<Item = &Join> {
+        self.live.values().map(|(_, join)| join)
+    }
+
+    /// Returns whether an incarnation has joined and is not gone.
+    pub fn is_live(&self, incarnation: Incarnation) -> bool {
+        self.live.contains_key(&incarnation)
+    }
+
+    /// Returns all fenced incarnations.
+    pub fn fenced(&self) -> impl Iterator<Item = Incarnation> + '_ {
+        self.fences.keys().copied()
+    }
+
+    /// Returns the offset of the fence of an incarnation.
+    pub fn fence_offset(&self, incarnation: Incarnation) -> Option<Offset> {
+        self.fences.get(&incarnation).map(|state| state.offset)
+    }
+
+    /// Returns the offset of the record that found the fence of an incarnation confirmed by all.
+    pub fn fence_done_offset(&self, incarnation: Incarnation) -> Option<Offset> {
+        self.fences.get(&incarnation)?.done
+    }
+
+    /// Returns the sidecars that joined before a fence and are not gone; the fence holds once each
+    /// of them has confirmed it.
+    ///
+    /// A sidecar is gone after its own leave, or after a later join on its host, whose slot holds
+    /// one process.
+    pub fn must_confirm(&self, fence: Offset) -> BTreeSet<Incarnation> {
+        let mut sidecars = BTreeSet::new();
+        for (incarnation, (joined, _)) in &self.live {
+            if *joined < fence {
+                sidecars.insert(*incarnation);
+            }
+        }
+        sidecars
+    }
+
+    fn join(&mut self, offset: Offset, join: &Join) -> bool {
+        let incarnation = Incarnation(join.incarnation);
+        let latest = self.latest.get(&join.name).copied().unwrap_or_default();
+        if incarnation == Incarnation::default() || latest.0 != join.previous {
+            return false;
+        }
+        self.live.remove(&latest);
+        self.latest.insert(join.name.clone(), incarnation);
+        self.live.insert(incarnation, (offset, join.clone()));
+        true
+    }
+
+    fn fence(&mut self, offset: Offset, fence: &Fence) -> bool {
+        let incarnation = Incarnation(fence.incarnation);
+        if self.fences.contains_key(&incarnation) {
+            return false;
+        }
+        self.fences
+            .insert(incarnation, FenceState { offset, done: None });
+        true
+    }
+
+    fn fence_done(&mut self, offset: Offset, done: &FenceDone) -> bool {
+        let incarnation = Incarnation(done.incarnation);
+        let Some(state) = self.fences.get(&incarnation).copied() else {
+            return false;
+        };
+        let expected = confirmed_hash(&self.must_confirm(state.offset));
+        if state.done.is_some() || expected != done.confirmed_hash {
+            return false;
+        }
+        self.fences.insert(
+            incarnation,
+            FenceState {
+                done: Some(offset),
+                ..state
+            },
+        );
+        true
+    }
+}
+
+/// Hashes a set of sidecars, for [`FenceDone`].
+pub fn confirmed_hash(sidecars: &BTreeSet<Incarnation>) -> u64 {
+    let mut hasher = Xxh3::new();
+    for sidecar in sidecars {
+        hasher.update(&sidecar.0.to_be_bytes());
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/mallowpath/src/order.rs
@@ -0,0 +1,208 @@
+//! The right to give a backend server orders, and the sidecar's gate for them.
+
+use crate::{BackendId, Incarnation, Offset, Verdict};
+use std::collections::BTreeMap;
+
+/// A minute.
+const DEFAULT_TIMEOUT_MS: u64 = 60 * 1000;
+
+/// Asks for the right to give a backend server orders.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OrderClaim {
+    /// The name of the backend server.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// The process that asks.
+    #[prost(fixed64, tag = "2")]
+    pub author: u64,
+    /// The fencing number that the claim supersedes, 0 for none; of two racing claims the first in
+    /// the stream is valid.
+    #[prost(uint64, tag = "3")]
+    pub previous_fence: u64,
+}
+
+/// The newest valid claim of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct OrderRight {
+    /// The fencing number: one more than the offset of the claim.
+    pub fence: u64,
+    /// The process that may give orders.
+    pub author: Incarnation,
+}
+
+/// The replayed state of the `orders` stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Orders {
+    next: Offset,
+    rights: BTreeMap<BackendId, OrderRight>,
+}
+
+impl Orders {
+    /// Judges the claim at an offset and applies it when it is valid.
+    pub fn apply(&mut self, offset: Offset, claim: &OrderClaim) -> Verdict {
+        if offset < self.next {
+            return Verdict::Void;
+        }
+        if offset > self.next {
+            return Verdict::Behind;
+        }
+        let fence = offset.0 + 1;
+        self.next = Offset(fence);
+        let Ok(backend) = claim.backend.parse() else {
+            return Verdict::Void;
+        };
+        let current = self.rights.get(&backend).map_or(0, |right| right.fence);
+        if claim.previous_fence != current {
+            return Verdict::Void;
+        }
+        let author = Incarnation(claim.author);
+        self.rights.insert(backend, OrderRight { fence, author });
+        Verdict::Valid
+    }
+
+    /// Returns who may give a backend server orders.
+    pub fn right(&self, backend: &BackendId) -> Option<OrderRight> {
+        self.rights.get(backend).copied()
+    }
+}
+
+/// Settings of an order gate.
+#[derive(Debug, Clone, Copy)]
+pub struct OrderSettings {
+    /// Whether the backend server refuses old fencing numbers itself.
+    pub server_checks_fences: bool,
+    /// After what time without an outcome the server's state is called unknown.
+    pub timeout_ms: u64,
+}
+
+/// The gate's answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// The order is to be passed on; its outcome is reported under this ticket.
+    Send {
+        /// Identifies the order at this gate.
+        ticket: u64,
+    },
+    /// The sender's right has been superseded.
+    TooOld {
+        /// The highest fencing number seen.
+        highest_fence: u64,
+    },
+    /// An order is in flight; its outcome has to come first.
+    Busy,
+    /// The order in flight has had no outcome in time, so the server's state is not known.
+    StateUnknown,
+}
+
+/// The sidecar's gate for orders, the only way to its backend server.
+#[derive(Debug)]
+pub struct OrderGate {
+    settings: OrderSettings,
+    highest_fence: u64,
+    last_ticket: u64,
+    in_flight: Option<InFlight>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct InFlight {
+    ticket: u64,
+    fence: u64,
+    sent_ms: u64,
+}
+
+impl OrderGate {
+    /// Opens the gate of a sidecar that has just started.
+    ///
+    /// `highest_fence` is the newest one in the replayed stream. An order that an earlier sidecar
+    /// passed on may still take effect, so a server that ignores fencing numbers gets none before
+    /// [`state_known`](Self::state_known).
+    pub fn new(settings: OrderSettings, highest_fence: u64) -> Self {
+        let earlier = InFlight {
+            ticket: 0,
+            fence: 0,
+            sent_ms: 0,
+        };
+        let in_flight = if settings.server_checks_fences {
+            None
+        } else {
+            Some(earlier)
+        };
+        Self {
+            settings,
+            highest_fence,
+            last_ticket: 0,
+            in_flight,
+        }
+    }
+
+    /// Decides whether an order goes to the server.
+    ///
+    /// A newer right is noted at once, also when its first order has to wait. A server that checks
+    /// fencing numbers gets that order past an older one in flight, which it then refuses itself.
+    pub fn order(&mut self, fence: u64, now_ms: u64) -> OrderAnswer {
+        if fence < self.highest_fence {
+            return OrderAnswer::TooOld {
+                highest_fence: self.highest_fence,
+            };
+        }
+        self.highest_fence = fence;
+        if let Some(in_flight) = self.in_flight {
+            let superseded = self.settings.server_checks_fences && in_flight.fence < fence;
+            if !superseded {
+                return self.wait(in_flight, now_ms);
+            }
+        }
+        self.last_ticket += 1;
+        let ticket = self.last_ticket;
+        self.in_flight = Some(InFlight {
+            ticket,
+            fence,
+            sent_ms: now_ms,
+        });
+        OrderAnswer::Send { ticket }
+    }
+
+    /// Notes the outcome of an order; returns whether it was the one in flight.
+    pub fn outcome(&mut self, ticket: u64) -> bool {
+        let current = self
+            .in_flight
+            .is_some_and(|in_flight| in_flight.ticket == ticket);
+        if current {
+            self.in_flight = None;
+        }
+        current
+    }
+
+    /// Returns whether the server's state is not known.
+    pub fn is_state_unknown(&self, now_ms: u64) -> bool {
+        self.in_flight
+            .is_some_and(|in_flight| self.is_late(in_flight, now_ms))
+    }
+
+    /// Notes that no order goes on at the server, as its restart or its state has shown.
+    pub fn state_known(&mut self) {
+        self.in_flight = None;
+    }
+
+    fn wait(&self, in_flight: InFlight, now_ms: u64) -> OrderAnswer {
+        if self.is_late(in_flight, now_ms) {
+            OrderAnswer::StateUnknown
+        } else {
+            OrderAnswer::Busy
+        }
+    }
+
+    fn is_late(&self, in_flight: InFlight, now_ms: u64) -> bool {
+        in_flight.ticket == 0
+            || in_flight.sent_ms.saturating_add(self.settings.timeout_ms) <= now_ms
+    }
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            server_checks_fences: false,
+            timeout_ms: DEFAULT_TIMEOUT_MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -0,0 +1,616 @@
+//! Key shards: replay of claims, and at most one run a key under lost, repeated, late and reordered
+//! messages, pauses, crashes, racing claims and log outages.
+
+use mallowpath::{
+    AttachAnswer, Claim, ClaimEvidence, CommitAnswer, Fence, FenceDone, Incarnation, KeyAck,
+    KeyCopy, KeyCopyHeld, KeyEntry, KeyHash, KeyPeer, KeyReplica, KeySettings, KeyShards,
+    KeyUpdate, KeysChange, KeysRecord, Members, MembersChange, MembersRecord, Offset, RequestId,
+    RunKey, RunSettings, RunTable, Submit, SubmitAnswer, Verdict, WorkspaceId, confirmed_hash,
+    key_shard, recover_keys,
+};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, any, proptest},
+    test_runner::RngSeed,
+};
+use std::{collections::BTreeSet, sync::Arc};
+use todc_utils::{
+    linearizability::{
+        WGLChecker,
+        history::{Action, History},
+    },
+    specifications::Specification,
+};
+
+const ROUTER: Incarnation = Incarnation(1000);
+const PROCESSES: usize = 4;
+const SIDECARS: u64 = 3;
+const KEYS: u8 = 2;
+const MAX_REQUESTS: usize = 10;
+
+fn peer(incarnation: u64) -> KeyPeer {
+    KeyPeer {
+        incarnation,
+        address: String::from("127.0.0.1:1"),
+    }
+}
+
+fn replica(incarnation: u64) -> KeyReplica {
+    KeyReplica::new(0, peer(incarnation), KeySettings::default())
+}
+
+fn entry(sequence: u64, sidecar: u64) -> KeyEntry {
+    KeyEntry {
+        request_id: RequestId {
+            incarnation: ROUTER,
+            sequence,
+        },
+        body_hash: 7,
+        sidecar: Incarnation(sidecar),
+        sidecar_address: Arc::from("127.0.0.1:2"),
+    }
+}
+
+fn claim(epoch: u64, owner: u64, witness: u64) -> Claim {
+    Claim {
+        epoch,
+        owner: Some(peer(owner)),
+        witness: Some(peer(witness)),
+        author: owner,
+        ..Claim::default()
+    }
+}
+
+fn record(claim: Claim) -> KeysRecord {
+    KeysRecord {
+        change: Some(KeysChange::Claim(claim)),
+    }
+}
+
+/// One key as a register that is set by comparison: from one of `from` to `to`.
+#[derive(Debug, Clone)]
+struct Bind {
+    from: Vec<Option<u64>>,
+    to: u64,
+    answered: bool,
+}
+
+struct KeyRegister;
+
+impl Specification for KeyRegister {
+    type State = Option<u64>;
+    type Operation = Bind;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(op: &Bind, state: &Self::State) -> (bool, Self::State) {
+        if op.from.contains(state) {
+            return (true, Some(op.to));
+        }
+        // An operation without an answer may also have had no effect.
+        (!op.answered, *state)
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    Update(usize, KeyUpdate),
+    Ack(usize, KeyAck),
+    Copy(usize, KeyCopy),
+    Held(usize, KeyCopyHeld),
+    Append(Claim),
+    Submit(u8, KeyEntry),
+}
+
+/// A router's request for a key, and what it has learnt.
+struct Request {
+    key: u8,
+    entry: KeyEntry,
+    bind: Bind,
+}
+
+struct Model {
+    processes: Vec<KeyReplica>,
+    read: Vec<usize>,
+    log: Vec<Claim>,
+    outage: bool,
+    network: Vec<Message>,
+    sidecars: Vec<RunTable>,
+    requests: Vec<Request>,
+    history: Vec<(u8, usize, Action<usize>)>,
+    starts: Vec<(u8, RequestId)>,
+    crashes: u64,
+}
+
+impl Model {
+    fn new() -> Self {
+        let mut sidecars = Vec::new();
+        for sidecar in 0..SIDECARS {
+            let settings = RunSettings {
+                max_running: 2,
+                ..RunSettings::default()
+            };
+            sidecars.push(RunTable::new(Incarnation(sidecar), settings, []));
+        }
+        Self {
+            processes: (1..=PROCESSES as u64).map(replica).collect(),
+            read: vec![0; PROCESSES],
+            log: Vec::new(),
+            outage: false,
+            network: Vec::new(),
+            sidecars,
+            requests: Vec::new(),
+            history: Vec::new(),
+            starts: Vec::new(),
+            crashes: 0,
+        }
+    }
+
+    fn step(&mut self, kind: u8, a: u8, b: u8) {
+        let process = usize::from(a) % PROCESSES;
+        match kind % 32 {
+            0..=2 if self.requests.len() < MAX_REQUESTS => self.new_request(process, b),
+            0..=5 => self.ask(process, b),
+            6..=7 => self.begin_claim(process, usize::from(b) % PROCESSES),
+            8 => drop(self.processes[process].cancel_claim()),
+            9..=13 => self.read_log(process),
+            14 => {
+                for update in self.processes[process].pending() {
+                    self.send_update(process, &update);
+                }
+            }
+            15 if a < 40 => self.outage = !self.outage,
+            16 if a < 40 => self.crash(process),
+            17 => drop(self.take(a)),
+            18..=19 => {
+                let index = usize::from(a) % self.network.len().max(1);
+                self.network.extend(self.network.get(index).cloned());
+            }
+            _ => {
+                if let Some(message) = self.take(a) {
+                    self.deliver(message);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, a: u8) -> Option<Message> {
+        let length = self.network.len();
+        if length == 0 {
+            None
+        } else {
+            Some(self.network.swap_remove(usize::from(a) % length))
+        }
+    }
+
+    fn crash(&mut self, process: usize) {
+        self.crashes += 1;
+        self.processes[process] = replica(100 + self.crashes);
+        self.read[process] = 0;
+    }
+
+    fn read_log(&mut self, process: usize) {
+        if self.outage {
+            return;
+        }
+        if let Some(claim) = self.log.get(self.read[process]) {
+            self.processes[process].see_claim(claim, 0);
+            self.read[process] += 1;
+        }
+    }
+
+    fn begin_claim(&mut self, process: usize, witness: usize) {
+        if let Some(copy) = self.processes[process].begin_claim(0) {
+            self.network.push(Message::Copy(witness, copy));
+        }
+    }
+
+    fn send_update(&mut self, from: usize, update: &KeyUpdate) {
+        for to in 0..PROCESSES {
+            if to != from {
+                self.network.push(Message::Update(to, update.clone()));
+            }
+        }
+    }
+
+    fn new_request(&mut self, process: usize, b: u8) {
+        let number = self.requests.len();
+        let key = b % KEYS;
+        let entry = entry(number as u64, u64::from(b / KEYS) % SIDECARS);
+        let bind = Bind {
+            from: Vec::new(),
+            to: number as u64,
+            answered: false,
+        };
+        self.requests.push(Request { key, entry, bind });
+        self.history.push((key, number, Action::Call(number)));
+        self.commit(process, number);
+    }
+
+    /// Sends an unanswered request again, to any process.
+    fn ask(&mut self, process: usize, b: u8) {
+        if !self.requests.is_empty() {
+            self.commit(process, usize::from(b) % self.requests.len());
+        }
+    }
+
+    fn commit(&mut self, process: usize, number: usize) {
+        let Request { key, entry, .. } = &self.requests[number];
+        let (key, entry) = (*key, entry.clone());
+        let answer = self.processes[process].commit(KeyHash([key; 16]), entry.clone(), 0);
+        match answer {
+            CommitAnswer::Existing { entry: held, .. } if held != entry => {
+                self.rebind(process, number, &held);
+            }
+            answer => self.answered(process, number, None, answer),
+        }
+    }
+
+    /// Attaches to the run of another request, and takes the key over if that run never starts.
+    fn rebind(&mut self, process: usize, number: usize, held: &KeyEntry) {
+        let sidecar = usize::try_from(held.sidecar.0).unwrap_or_default();
+        if self.sidecars[sidecar].attach(held.request_id, 0) != AttachAnswer::Never {
+            return;
+        }
+        let Request { key, entry, bind } = &self.requests[number];
+        let from = Some(held.request_id.sequence);
+        if bind.from.iter().any(|earlier| *earlier != from) {
+            // The request was offered before and may have been displaced; its id is not used again.
+            return;
+        }
+        let (key, entry) = (KeyHash([*key; 16]), entry.clone());
+        let answer = self.processes[process].rebind(key, held, entry, 0);
+        self.answered(process, number, from, answer);
+    }
+
+    fn answered(&mut self, process: usize, number: usize, from: Option<u64>, answer: CommitAnswer) {
+        match answer {
+            CommitAnswer::New(update) => {
+                self.requests[number].bind.from.push(from);
+                self.send_update(process, &update);
+            }
+            CommitAnswer::Existing { entry, .. } if entry == self.requests[number].entry => {
+                self.committed(number);
+            }
+            _ => {}
+        }
+    }
+
+    /// The router learns that its request may run.
+    fn committed(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        self.network
+            .push(Message::Submit(request.key, request.entry.clone()));
+        if !request.bind.answered {
+            request.bind.answered = true;
+            self.history
+                .push((request.key, number, Action::Response(number)));
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Update(to, update) => {
+                let ack = self.processes[to].receive_update(&update);
+                for owner in 0..PROCESSES {
+                    self.network
+                        .extend(ack.clone().map(|ack| Message::Ack(owner, ack)));
+                }
+            }
+            Message::Ack(to, ack) => {
+                if let Some((_, entry)) = self.processes[to].acknowledge(&ack) {
+                    self.committed(usize::try_from(entry.request_id.sequence).unwrap_or_default());
+                }
+            }
+            Message::Copy(to, copy) => {
+                let held = self.processes[to].receive_copy(copy);
+                for from in 0..PROCESSES {
+                    self.network
+                        .extend(held.clone().map(|held| Message::Held(from, held)));
+                }
+            }
+            Message::Held(to, held) => {
+                let claim = self.processes[to].author_claim(&held);
+                self.network.extend(claim.map(Message::Append));
+            }
+            Message::Append(claim) if self.outage => self.network.push(Message::Append(claim)),
+            Message::Append(claim) => self.append(claim),
+            Message::Submit(key, entry) => self.submit(key, &entry),
+        }
+    }
+
+    /// Appends a claim; the processes get those that the replay finds valid.
+    fn append(&mut self, claim: Claim) {
+        let mut shards = KeyShards::default();
+        for (offset, earlier) in self.log.iter().enumerate() {
+            let offset = Offset(offset as u64);
+            shards.apply(offset, &record(earlier.clone()), &Members::default());
+        }
+        let next = shards.next_offset();
+        if shards.apply(next, &record(claim.clone()), &Members::default()) == Verdict::Valid {
+            self.log.push(claim);
+        }
+    }
+
+    fn submit(&mut self, key: u8, entry: &KeyEntry) {
+        let sidecar = usize::try_from(entry.sidecar.0).unwrap_or_default();
+        let answer = self.sidecars[sidecar].submit(&Submit {
+            id: entry.request_id,
+            sidecar: entry.sidecar,
+            lowest_open: 0,
+            key: Some(RunKey {
+                hash: KeyHash([key; 16]),
+                owner: Incarnation(0),
+            }),
+            tombstone_on_refusal: true,
+        });
+        if answer == SubmitAnswer::Start {
+            self.starts.push((key, entry.request_id));
+        }
+    }
+
+    fn check(&self) {
+        for key in 0..KEYS {
+            let starts = self
+                .starts
+                .iter()
+                .filter(|(started, _)| *started == key)
+                .count();
+            assert!(
+                starts <= 1,
+                "key {key} ran {starts} times: {:?}",
+                self.starts
+            );
+            let mut actions = Vec::new();
+            let mut open = Vec::new();
+            for (of_key, number, action) in &self.history {
+                if *of_key != key {
+                    continue;
+                }
+                let bind = self.requests[*number].bind.clone();
+                match action {
+                    Action::Call(_) if !bind.answered => open.push((*number, bind)),
+                    Action::Call(_) => actions.push((*number, Action::Call(bind))),
+                    Action::Response(_) => actions.push((*number, Action::Response(bind))),
+                }
+            }
+            // A request without an answer takes effect at any time, so its call comes first.
+            for (number, bind) in open {
+                actions.insert(0, (number, Action::Call(bind.clone())));
+                actions.push((number, Action::Response(bind)));
+            }
+            if !actions.is_empty() {
+                let history = History::from_actions(actions);
+                assert!(
+                    WGLChecker::<KeyRegister>::is_linearizable(history),
+                    "key {key}"
+                );
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        max_shrink_iters: 2000,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_runs_at_most_once(steps in vec(any::<(u8, u8, u8)>(), 100..500)) {
+        let mut model = Model::new();
+        for (kind, a, b) in steps {
+            model.step(kind, a, b);
+        }
+        model.check();
+    }
+
+    #[test]
+    fn every_reader_gets_the_same_claims(
+        claims in vec((0..4u64, 1..5u64, 1..5u64), 1..30),
+        cut in 0..30usize,
+    ) {
+        let mut records = Vec::new();
+        for (epoch, owner, witness) in claims {
+            records.push(record(claim(epoch, owner, witness)));
+        }
+        let mut whole = KeyShards::default();
+        let mut resumed = KeyShards::default();
+        for (offset, record) in records.iter().enumerate() {
+            if offset == cut {
+                resumed = KeyShards::from_checkpoint(&resumed.checkpoint());
+            }
+            let offset = Offset(offset as u64);
+            let before = whole.claim(0).cloned();
+            let verdict = whole.apply(offset, record, &Members::default());
+            assert_eq!(verdict, resumed.apply(offset, record, &Members::default()));
+            assert_eq!(whole.apply(offset, record, &Members::default()), Verdict::Void);
+            assert_eq!(verdict == Verdict::Valid, before.as_ref() != whole.claim(0));
+        }
+        assert_eq!(whole, resumed);
+    }
+}
+
+/// Makes `owner` and `witness` hold the next epoch of an empty or existing shard.
+fn install(owner: &mut KeyReplica, witness: &mut KeyReplica) -> Claim {
+    let copy = owner.begin_claim(0).expect("the process may claim");
+    let held = witness.receive_copy(copy).expect("the copy is new");
+    let claim = owner.author_claim(&held).expect("the copy is held");
+    owner.see_claim(&claim, 0);
+    witness.see_claim(&claim, 0);
+    claim
+}
+
+fn committed(owner: &mut KeyReplica, witness: &mut KeyReplica, key: KeyHash, entry: KeyEntry) {
+    let CommitAnswer::New(update) = owner.commit(key, entry, 0) else {
+        panic!("the key is new");
+    };
+    let ack = witness
+        .receive_update(&update)
+        .expect("the witness is not sealed");
+    assert!(owner.acknowledge(&ack).is_some());
+}
+
+#[test]
+fn a_takeover_keeps_the_keys_and_stops_the_old_owner() {
+    let (mut a, mut b, mut c) = (replica(1), replica(2), replica(3));
+    install(&mut a, &mut b);
+    let key = KeyHash([1; 16]);
+    committed(&mut a, &mut b, key, entry(1, 0));
+    let CommitAnswer::New(late) = a.commit(KeyHash([2; 16]), entry(2, 0), 0) else {
+        panic!("the key is new");
+    };
+    install(&mut b, &mut c);
+    assert!(b.receive_update(&late).is_none());
+    assert!(
+        c.receive_update(&late).is_none(),
+        "an update of an older epoch"
+    );
+    let existing = CommitAnswer::Existing {
+        entry: entry(1, 0),
+        finished: false,
+    };
+    assert_eq!(b.commit(key, entry(3, 0), 0), existing);
+    let other_body = KeyEntry {
+        body_hash: 8,
+        ..entry(4, 0)
+    };
+    assert_eq!(b.commit(key, other_body, 0), CommitAnswer::Mismatch);
+    assert_eq!(c.commit(key, entry(5, 0), 0), CommitAnswer::NotOwner);
+}
+
+#[test]
+fn a_finished_key_expires_at_owner_and_witness() {
+    let (mut a, mut b) = (replica(1), replica(2));
+    install(&mut a, &mut b);
+    let key = KeyHash([1; 16]);
+    committed(&mut a, &mut b, key, entry(1, 0));
+    let update = a
+        .finish(key, entry(1, 0).request_id, 5)
+        .expect("the run goes on");
+    assert_eq!(a.pending(), vec![update.clone()]);
+    let ack = b
+        .receive_update(&update)
+        .expect("the witness is not sealed");
+    assert!(a.acknowledge(&ack).is_none());
+    assert!(a.pending().is_empty());
+    let keep_ms = KeySettings::default().keep_ms;
+    assert!(a.expire(4 + keep_ms).is_empty());
+    let drops = a.expire(5 + keep_ms);
+    b.receive_drop(&drops[0]);
+    assert!(a.is_empty() && b.is_empty());
+}
+
+#[test]
+fn a_forced_claim_needs_both_fences_confirmed_and_leaves_other_keys_unknown() {
+    let (mut a, mut b, mut c, mut d) = (replica(1), replica(2), replica(3), replica(4));
+    let first = install(&mut a, &mut b);
+    let key = KeyHash([1; 16]);
+    committed(&mut a, &mut b, key, entry(1, 0));
+    let batch = a.take_log_batch(10).expect("a key was committed");
+    c.see_claim(&first, 0);
+    d.see_claim(&first, 0);
+
+    let mut members = Members::default();
+    let fence = |incarnation| {
+        MembersChange::Fence(Fence {
+            incarnation,
+            author: 3,
+        })
+    };
+    let confirmed_hash = confirmed_hash(&BTreeSet::new());
+    let done = |incarnation| {
+        MembersChange::FenceDone(FenceDone {
+            incarnation,
+            confirmed_hash,
+        })
+    };
+    for (offset, change) in [fence(1), fence(2), done(1)].into_iter().enumerate() {
+        let record = MembersRecord {
+            change: Some(change),
+        };
+        assert_eq!(
+            members.apply(Offset(offset as u64), &record),
+            Verdict::Valid
+        );
+    }
+    let evidence = ClaimEvidence {
+        owner_done_offset: 2,
+        witness_done_offset: 3,
+    };
+    let copy = c.begin_recovery(evidence, &recover_keys(&[batch]), 100, 0);
+    let held = d
+        .receive_copy(copy.expect("the process is outside"))
+        .expect("the copy is new");
+    let forced = c.author_claim(&held).expect("the copy is held");
+    let mut shards = KeyShards::default();
+    shards.apply(Offset(0), &record(first), &members);
+    assert_eq!(
+        shards.apply(Offset(1), &record(forced.clone()), &members),
+        Verdict::Behind
+    );
+    let wrong = ClaimEvidence {
+        witness_done_offset: 1,
+        ..evidence
+    };
+    let early = Claim {
+        evidence: Some(wrong),
+        ..forced.clone()
+    };
+    assert_eq!(
+        shards.clone().apply(Offset(1), &record(early), &members),
+        Verdict::Void
+    );
+    let bare = Claim {
+        evidence: None,
+        ..forced.clone()
+    };
+    assert_eq!(
+        shards.clone().apply(Offset(1), &record(bare), &members),
+        Verdict::Void
+    );
+    members.apply(
+        Offset(3),
+        &MembersRecord {
+            change: Some(done(2)),
+        },
+    );
+    assert_eq!(
+        shards.apply(Offset(1), &record(forced.clone()), &members),
+        Verdict::Valid
+    );
+
+    c.see_claim(&forced, 0);
+    let existing = CommitAnswer::Existing {
+        entry: entry(1, 0),
+        finished: false,
+    };
+    assert_eq!(c.commit(key, entry(2, 0), 99), existing);
+    assert_eq!(
+        c.rebind(key, &entry(1, 0), entry(2, 0), 99),
+        CommitAnswer::Unknown
+    );
+    assert_eq!(
+        c.commit(KeyHash([2; 16]), entry(3, 0), 99),
+        CommitAnswer::Unknown
+    );
+    assert!(matches!(
+        c.commit(KeyHash([2; 16]), entry(3, 0), 100),
+        CommitAnswer::New(_)
+    ));
+}
+
+#[test]
+fn keys_of_two_workspaces_differ_and_shards_are_in_range() {
+    let first: WorkspaceId = "ab".parse().expect("a name");
+    let second: WorkspaceId = "a".parse().expect("a name");
+    let key = KeyHash::new(&first, "c");
+    assert_ne!(key, KeyHash::new(&second, "bc"));
+    assert_eq!(key.to_string().parse::<KeyHash>().ok(), Some(key));
+    assert!(key_shard(&key, 64) < 64);
+}
