Test members, orders and the run table

Cause: these decisions had no tests. The members test found a fault at once: a join that named its own incarnation as the one before it was accepted again as a second copy, and moved the offset of the join.

Proof: property tests with fixed seeds, 1,000 cases each.

--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -28,6 +28,9 @@
     Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint,
     MembersRecord, confirmed_hash,
 };
-pub use order::{OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderSettings, Orders};
+pub use order::{
+    OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders,
+    OrdersChange, OrdersCheckpoint, OrdersRecord,
+};
 pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
 pub use verdict::Verdict;
--- a/crates/mallowpath/src/members.rs
+++ b/crates/mallowpath/src/members.rs
@@ -269,7 +269,10 @@
     fn join(&mut self, offset: Offset, join: &Join) -> bool {
         let incarnation = Incarnation(join.incarnation);
         let latest = self.latest.get(&join.name).copied().unwrap_or_default();
-        if incarnation == Incarnation::default() || latest.0 != join.previous {
+        if incarnation == Incarnation::default() || incarnation == latest {
+            return false;
+        }
+        if latest.0 != join.previous {
             return false;
         }
         self.live.remove(&latest);
--- a/crates/mallowpath/src/order.rs
+++ b/crates/mallowpath/src/order.rs
@@ -21,6 +21,50 @@
     pub previous_fence: u64,
 }
 
+/// The newest valid claim of a backend server, in a checkpoint.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OrderRightRecord {
+    /// The name of the backend server.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// The process that may give orders.
+    #[prost(fixed64, tag = "2")]
+    pub author: u64,
+    /// Its fencing number.
+    #[prost(uint64, tag = "3")]
+    pub fence: u64,
+}
+
+/// The state after a prefix, to be read in its place; records from `next_offset` on follow it.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OrdersCheckpoint {
+    /// The first offset that the state does not cover.
+    #[prost(uint64, tag = "1")]
+    pub next_offset: u64,
+    /// The rights of all backend servers.
+    #[prost(message, repeated, tag = "2")]
+    pub rights: Vec<OrderRightRecord>,
+}
+
+/// A record of the `orders` stream.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OrdersRecord {
+    /// What the record says.
+    #[prost(oneof = "OrdersChange", tags = "1, 2")]
+    pub change: Option<OrdersChange>,
+}
+
+/// What a record of the `orders` stream says.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum OrdersChange {
+    /// A process asks for a right.
+    #[prost(message, tag = "1")]
+    Claim(OrderClaim),
+    /// The rights so far.
+    #[prost(message, tag = "2")]
+    Checkpoint(OrdersCheckpoint),
+}
+
 /// The newest valid claim of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OrderRight {
@@ -38,8 +82,46 @@
 }
 
 impl Orders {
-    /// Judges the claim at an offset and applies it when it is valid.
-    pub fn apply(&mut self, offset: Offset, claim: &OrderClaim) -> Verdict {
+    /// Continues from a checkpoint; the next record to apply is the one at its `next_offset`.
+    pub fn from_checkpoint(checkpoint: &OrdersCheckpoint) -> Self {
+        let mut orders = Self {
+            next: Offset(checkpoint.next_offset),
+            ..Self::default()
+        };
+        for record in &checkpoint.rights {
+            let Ok(backend) = record.backend.parse() else {
+                continue;
+            };
+            let author = Incarnation(record.author);
+            orders.rights.insert(
+                backend,
+                OrderRight {
+                    fence: record.fence,
+                    author,
+                },
+            );
+        }
+        orders
+    }
+
+    /// Returns the checkpoint of the prefix applied so far.
+    pub fn checkpoint(&self) -> OrdersCheckpoint {
+        let mut rights = Vec::with_capacity(self.rights.len());
+        for (backend, right) in &self.rights {
+            rights.push(OrderRightRecord {
+                backend: backend.to_string(),
+                author: right.author.0,
+                fence: right.fence,
+            });
+        }
+        OrdersCheckpoint {
+            next_offset: self.next.0,
+            rights,
+        }
+    }
+
+    /// Judges the record at an offset and applies it when it is valid.
+    pub fn apply(&mut self, offset: Offset, record: &OrdersRecord) -> Verdict {
         if offset < self.next {
             return Verdict::Void;
         }
@@ -48,6 +130,9 @@
         }
         let fence = offset.0 + 1;
         self.next = Offset(fence);
+        let Some(OrdersChange::Claim(claim)) = &record.change else {
+            return Verdict::Void;
+        };
         let Ok(backend) = claim.backend.parse() else {
             return Verdict::Void;
         };
--- /dev/null
+++ b/crates/mallowpath/tests/members.rs
@@ -0,0 +1,118 @@
+//! Replay of the `members` stream.
+
+use mallowpath::{
+    Fence, FenceDone, Incarnation, Join, Leave, Members, MembersChange, MembersCheckpoint,
+    MembersRecord, Offset, Verdict, confirmed_hash,
+};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, proptest},
+    test_runner::RngSeed,
+};
+use prost::Message;
+use std::collections::BTreeSet;
+
+fn join(incarnation: u64, host: u64, previous: u64) -> MembersChange {
+    let name = host.to_string();
+    MembersChange::Join(Join {
+        incarnation,
+        name,
+        previous,
+        ..Join::default()
+    })
+}
+
+fn fence(incarnation: u64) -> MembersChange {
+    MembersChange::Fence(Fence {
+        incarnation,
+        author: 1,
+    })
+}
+
+fn done(incarnation: u64, confirmed: &[u64]) -> MembersChange {
+    let confirmed: BTreeSet<Incarnation> = confirmed.iter().copied().map(Incarnation).collect();
+    let confirmed_hash = confirmed_hash(&confirmed);
+    MembersChange::FenceDone(FenceDone {
+        incarnation,
+        confirmed_hash,
+    })
+}
+
+fn apply(members: &mut Members, change: MembersChange) -> Verdict {
+    members.apply(
+        members.next_offset(),
+        &MembersRecord {
+            change: Some(change),
+        },
+    )
+}
+
+fn change(kind: u8, a: u64, b: u64, c: u64) -> MembersChange {
+    match kind {
+        0..=4 => join(a, a % 3, c),
+        5 => fence(b),
+        6 => done(b, &[]),
+        7 => done(b, &[a, c]),
+        _ => MembersChange::Leave(Leave { incarnation: a }),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(2),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_checkpoint_at_any_point_gives_the_same_state(
+        draws in vec((0..9u8, 1..6u64, 1..3u64, 0..6u64), 1..60),
+        cut in 0..60usize,
+    ) {
+        let mut whole = Members::default();
+        let mut resumed = Members::default();
+        for (index, (kind, a, b, c)) in draws.into_iter().enumerate() {
+            if index == cut {
+                let bytes = resumed.checkpoint().encode_to_vec();
+                let checkpoint = MembersCheckpoint::decode(bytes.as_slice()).expect("encoded");
+                resumed = Members::from_checkpoint(&checkpoint);
+            }
+            let change = change(kind, a, b, c);
+            let verdict = apply(&mut whole, change.clone());
+            assert_eq!(verdict, apply(&mut resumed, change.clone()));
+            // A copy in a later place is void, as after a lost answer.
+            assert_eq!(apply(&mut whole.clone(), change), Verdict::Void);
+        }
+        assert_eq!(whole, resumed);
+    }
+}
+
+#[test]
+fn a_fence_is_confirmed_by_those_that_joined_before_it_and_are_not_gone() {
+    let mut members = Members::default();
+    for change in [
+        join(1, 1, 0),
+        join(2, 2, 0),
+        join(3, 3, 0),
+        fence(9),
+        join(4, 4, 0),
+    ] {
+        assert_eq!(apply(&mut members, change), Verdict::Valid);
+    }
+    let all = [1, 2, 3].map(Incarnation);
+    assert_eq!(members.must_confirm(Offset(3)), BTreeSet::from(all));
+    assert_eq!(apply(&mut members, done(9, &[1, 2])), Verdict::Void);
+    assert_eq!(apply(&mut members, join(5, 1, 1)), Verdict::Valid);
+    apply(&mut members, MembersChange::Leave(Leave { incarnation: 2 }));
+    assert_eq!(apply(&mut members, done(9, &[3])), Verdict::Valid);
+    assert_eq!(members.fence_done_offset(Incarnation(9)), Some(Offset(8)));
+}
+
+#[test]
+fn a_delayed_join_of_a_dead_sidecar_does_not_displace_the_live_one() {
+    let mut members = Members::default();
+    assert_eq!(apply(&mut members, join(2, 1, 0)), Verdict::Valid);
+    assert_eq!(apply(&mut members, join(1, 1, 0)), Verdict::Void);
+    assert!(members.must_confirm(Offset(2)).contains(&Incarnation(2)));
+}
--- /dev/null
+++ b/crates/mallowpath/tests/order.rs
@@ -0,0 +1,124 @@
+//! Rights to give orders, the sidecar's gate and the load queue.
+
+use mallowpath::{
+    LoadOrder, LoadQueue, LoadSettings, Offset, OrderAnswer, OrderClaim, OrderGate, OrderSettings,
+    Orders, OrdersChange, OrdersRecord, Verdict,
+};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, any, proptest},
+    test_runner::RngSeed,
+};
+use std::sync::Arc;
+
+const TIMEOUT_MS: u64 = 5;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_order_takes_effect_after_one_of_a_newer_right(
+        server_checks_fences in any::<bool>(),
+        steps in vec((0..4u8, 0..6u64), 1..60),
+    ) {
+        let settings = OrderSettings { server_checks_fences, timeout_ms: TIMEOUT_MS };
+        let mut gate = OrderGate::new(settings, 0);
+        gate.state_known();
+        let mut in_flight = Vec::new();
+        let mut highest_done = 0;
+        for (now_ms, (kind, draw)) in steps.into_iter().enumerate() {
+            if kind < 2 {
+                if let OrderAnswer::Send { ticket } = gate.order(draw, now_ms as u64) {
+                    in_flight.push((ticket, draw));
+                }
+            } else if !in_flight.is_empty() {
+                // An order in flight takes effect at any time, unless the server refuses it.
+                let index = usize::try_from(draw).unwrap_or_default() % in_flight.len();
+                let (ticket, fence) = in_flight.swap_remove(index);
+                gate.outcome(ticket);
+                let refused = server_checks_fences && fence < highest_done;
+                assert!(refused || fence >= highest_done, "{fence} after {highest_done}");
+                highest_done = highest_done.max(fence);
+            }
+            assert!(server_checks_fences || in_flight.len() <= 1);
+        }
+    }
+
+    #[test]
+    fn loads_keep_to_the_limit_and_go_by_need(
+        steps in vec((0..3u8, 0..8u8, 0..4u64), 1..80),
+    ) {
+        let settings = LoadSettings { interval_ms: 3, max_running: 2 };
+        let mut queue = LoadQueue::new(settings);
+        let (mut running, mut waiting, mut last_ms) = (Vec::new(), Vec::new(), None);
+        for (now_ms, (kind, backend, need)) in (0u64..).zip(steps) {
+            let id = format!("b{backend}").parse().expect("a name");
+            if kind == 0 {
+                let zone = format!("z{}", backend % 2).parse().expect("a name");
+                queue.push(LoadOrder { backend: id, zone, weights: Arc::from("w"), need });
+                waiting.retain(|(waiting, _)| *waiting != backend);
+                if !running.contains(&format!("b{backend}")) {
+                    waiting.push((backend, need));
+                }
+            } else if kind == 1 {
+                queue.end(&id);
+                running.retain(|running| *running != id.to_string());
+            } else if let Some(order) = queue.start_next(now_ms) {
+                assert!(last_ms.is_none_or(|last_ms| now_ms >= last_ms + settings.interval_ms));
+                assert!(waiting.iter().all(|(_, need)| *need <= order.need));
+                last_ms = Some(now_ms);
+                running.push(order.backend.to_string());
+                waiting.retain(|(waiting, _)| format!("b{waiting}") != order.backend.to_string());
+                assert!(running.len() <= settings.max_running);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_first_of_two_racing_claims_is_valid() {
+    let mut orders = Orders::default();
+    let claim = |author, previous_fence| {
+        let claim = OrderClaim {
+            backend: String::from("b"),
+            author,
+            previous_fence,
+        };
+        OrdersRecord {
+            change: Some(OrdersChange::Claim(claim)),
+        }
+    };
+    assert_eq!(orders.apply(Offset(0), &claim(1, 0)), Verdict::Valid);
+    assert_eq!(orders.apply(Offset(1), &claim(2, 0)), Verdict::Void);
+    assert_eq!(orders.apply(Offset(2), &claim(1, 0)), Verdict::Void);
+    orders = Orders::from_checkpoint(&orders.checkpoint());
+    assert_eq!(orders.apply(Offset(3), &claim(2, 1)), Verdict::Valid);
+    assert_eq!(
+        orders
+            .right(&"b".parse().expect("a name"))
+            .map(|right| right.fence),
+        Some(4)
+    );
+}
+
+#[test]
+fn a_state_that_is_not_known_is_said() {
+    let settings = OrderSettings {
+        timeout_ms: TIMEOUT_MS,
+        ..OrderSettings::default()
+    };
+    let mut gate = OrderGate::new(settings, 3);
+    assert_eq!(gate.order(3, 0), OrderAnswer::StateUnknown);
+    gate.state_known();
+    assert_eq!(gate.order(3, 1), OrderAnswer::Send { ticket: 1 });
+    assert_eq!(gate.order(4, 2), OrderAnswer::Busy);
+    assert_eq!(gate.order(3, 2), OrderAnswer::TooOld { highest_fence: 4 });
+    assert_eq!(gate.order(4, 1 + TIMEOUT_MS), OrderAnswer::StateUnknown);
+    assert!(gate.outcome(1));
+    assert_eq!(gate.order(4, 7), OrderAnswer::Send { ticket: 2 });
+}
--- /dev/null
+++ b/crates/mallowpath/tests/run_table.rs
@@ -0,0 +1,164 @@
+//! The sidecar's run table.
+
+use bytes::Bytes;
+use mallowpath::{
+    AttachAnswer, Incarnation, KeyHash, RequestId, RunEnd, RunKey, RunSettings, RunTable, Submit,
+    SubmitAnswer,
+};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, proptest},
+    test_runner::RngSeed,
+};
+use std::collections::BTreeSet;
+
+const ME: Incarnation = Incarnation(7);
+const OWNER: Incarnation = Incarnation(3);
+
+fn id(router: u64, sequence: u64) -> RequestId {
+    RequestId {
+        incarnation: Incarnation(router),
+        sequence,
+    }
+}
+
+fn submit(id: RequestId) -> Submit {
+    let key = Some(RunKey {
+        hash: KeyHash([0; 16]),
+        owner: OWNER,
+    });
+    Submit {
+        id,
+        sidecar: ME,
+        lowest_open: 0,
+        key,
+        tombstone_on_refusal: false,
+    }
+}
+
+fn settings() -> RunSettings {
+    RunSettings {
+        keep_ms: 20,
+        keep_bytes: 40,
+        orphan_ms: 5,
+        max_running: 3,
+        retry_after_ms: 9,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_request_starts_once_and_never_after_its_tombstone(
+        steps in vec((0..24u8, 1..4u64, 0..6u64), 1..150),
+    ) {
+        let mut table = RunTable::new(ME, settings(), []);
+        let (mut started, mut never) = (BTreeSet::new(), BTreeSet::new());
+        let (mut running, mut fenced) = (BTreeSet::new(), BTreeSet::new());
+        for (now_ms, (kind, router, sequence)) in (0u64..).zip(steps) {
+            let id = id(router, sequence);
+            match kind {
+                0..=9 => {
+                    let lowest_open = if kind == 0 { sequence } else { 0 };
+                    let tombstone_on_refusal = kind < 3;
+                    let answer =
+                        table.submit(&Submit { lowest_open, tombstone_on_refusal, ..submit(id) });
+                    if answer == SubmitAnswer::Start {
+                        assert!(started.insert(id), "{id} started twice");
+                        assert!(!never.contains(&id), "{id} started after its tombstone");
+                        assert!(!fenced.contains(&id.incarnation) && !fenced.contains(&OWNER));
+                        running.insert(id);
+                    } else if answer == SubmitAnswer::Tombstoned {
+                        assert!(!started.contains(&id), "{id} has run");
+                    } else if tombstone_on_refusal && !started.contains(&id) {
+                        never.insert(id);
+                    }
+                }
+                10..=14 => {
+                    if table.attach(id, 0) == AttachAnswer::Never {
+                        assert!(!started.contains(&id), "{id} has run");
+                        never.insert(id);
+                    }
+                }
+                15..=20 => {
+                    table.push_chunk(id, Bytes::from_static(&[0; 15]));
+                    table.end(id, RunEnd::Complete, now_ms);
+                    running.remove(&id);
+                }
+                21 => table.forget_fenced(id.incarnation),
+                _ if sequence == 0 => {
+                    let cancelled: BTreeSet<_> = table.fence(id.incarnation).into_iter().collect();
+                    let of_router = running.iter().filter(|id| id.incarnation.0 == router);
+                    assert_eq!(cancelled, of_router.copied().collect());
+                    fenced.insert(id.incarnation);
+                }
+                _ => table.forget_ended(now_ms),
+            }
+            assert_eq!(table.running(), running.len());
+            assert!(table.kept_bytes() <= settings().keep_bytes);
+            for incarnation in &fenced {
+                let runs_on = running.iter().any(|id| id.incarnation == *incarnation);
+                assert_eq!(table.fence_done(*incarnation), !runs_on);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_router_attaches_from_the_chunk_that_it_lacks() {
+    let mut table = RunTable::new(ME, settings(), []);
+    let id = id(1, 1);
+    assert_eq!(table.submit(&submit(id)), SubmitAnswer::Start);
+    table.push_chunk(id, Bytes::from_static(b"a"));
+    assert_eq!(table.push_chunk(id, Bytes::from_static(b"b")), Some(1));
+    let chunks = vec![Bytes::from_static(b"b")];
+    assert_eq!(
+        table.attach(id, 1),
+        AttachAnswer::Chunks { chunks, end: None }
+    );
+    table.detach(id, 10);
+    assert!(
+        table.take_orphans(100).is_empty(),
+        "the submitting router is attached"
+    );
+    table.detach(id, 10);
+    assert!(table.take_orphans(14).is_empty());
+    assert_eq!(table.take_orphans(15), vec![id]);
+    assert!(table.take_orphans(16).is_empty());
+}
+
+#[test]
+fn refusals_say_why() {
+    let mut table = RunTable::new(ME, settings(), [Incarnation(9)]);
+    let other = Submit {
+        sidecar: Incarnation(8),
+        ..submit(id(1, 1))
+    };
+    assert_eq!(table.submit(&other), SubmitAnswer::OtherIncarnation);
+    assert_eq!(
+        table.submit(&submit(id(9, 1))),
+        SubmitAnswer::Fenced(Incarnation(9))
+    );
+    for sequence in 1..4 {
+        assert_eq!(table.submit(&submit(id(1, sequence))), SubmitAnswer::Start);
+    }
+    assert_eq!(
+        table.submit(&submit(id(1, 1))),
+        SubmitAnswer::AlreadyRunning
+    );
+    assert_eq!(
+        table.submit(&submit(id(1, 4))),
+        SubmitAnswer::Full { retry_after_ms: 9 }
+    );
+    table.leave();
+    assert_eq!(table.submit(&submit(id(1, 4))), SubmitAnswer::Leaving);
+    assert_eq!(table.keyed_runs(OWNER).len(), 3);
+    table.fence(OWNER);
+    assert_eq!(table.submit(&submit(id(1, 4))), SubmitAnswer::Fenced(OWNER));
+}
