--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -14,6 +14,17 @@
 mod replay;
 mod section;
 mod settings;
+mod key;
+mod key_claim;
+mod key_message;
+mod key_replica;
+mod key_table;
+mod load_queue;
+mod members;
+mod order;
+mod run;
+mod run_marks;
+mod verdict;
 
 pub use backoff::Backoff;
 pub use change::{
@@ -39,3 +50,20 @@
 pub use settings::{
     HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
 };
+pub use key::{
+    Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
+    KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
+};
+pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
+pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
+pub use load_queue::{LoadOrder, LoadQueue, LoadSettings};
+pub use members::{
+    Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint,
+    MembersRecord, confirmed_hash,
+};
+pub use order::{
+    OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders,
+    OrdersChange, OrdersCheckpoint, OrdersRecord,
+};
+pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
+pub use verdict::Verdict;
