Give each replay's verdict and each hash its own name

Ruled out: public modules, which would leave callers with three Verdicts to tell apart. Change: ClaimVerdict, ConfigVerdict, ConfigVoid, BearerHash, BackendRule, BackendMode. Conclusion: the names say which stream or table they belong to.

--- a/crates/mallowpath/src/verdict.rs
+++ b/crates/mallowpath/src/claim_verdict.rs
@@ -2,7 +2,7 @@
 
 /// What a replay made of a record; every reader of the same prefix gets the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
+pub enum ClaimVerdict {
     /// The record holds and has changed the state.
     Valid,
     /// The record breaks a rule or repeats an earlier one, and has changed nothing.
--- a/crates/mallowpath/src/fleet.rs
+++ b/crates/mallowpath/src/fleet.rs
@@ -16,7 +16,7 @@
 
 /// SHA-256 of a caller's bearer key; the key itself is never stored.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct KeyHash([u8; 32]);
+pub struct BearerHash([u8; 32]);
 
 /// The services that a workspace may call.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -47,7 +47,7 @@
 
 /// What an operator wants of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BackendState {
+pub enum BackendMode {
     /// It takes new work.
     Active,
     /// It finishes its work and takes no more.
@@ -62,7 +62,7 @@
     /// Its name.
     pub id: WorkspaceId,
     /// Hashes of the bearer keys that belong to it.
-    pub keys: Vec<KeyHash>,
+    pub keys: Vec<BearerHash>,
     /// The budget spent when a request names none.
     pub budget: BudgetId,
     /// The services that it may call.
@@ -115,11 +115,11 @@
 
 /// A rule for one backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Backend {
+pub struct BackendRule {
     /// Its name.
     pub id: BackendId,
     /// What is wanted of it.
-    pub state: BackendState,
+    pub state: BackendMode,
     /// The service that it is to serve.
     pub service: ServiceId,
     /// The role that it is ordered to take, such as `prefill`.
@@ -151,11 +151,11 @@
     /// Services by name.
     pub services: BTreeMap<ServiceId, Arc<Service>>,
     /// Rules for backend servers by name.
-    pub backends: BTreeMap<BackendId, Backend>,
-    pub(crate) by_key: HashMap<KeyHash, Arc<Workspace>>,
+    pub backends: BTreeMap<BackendId, BackendRule>,
+    pub(crate) by_key: HashMap<BearerHash, Arc<Workspace>>,
 }
 
-impl KeyHash {
+impl BearerHash {
     /// Hashes a bearer key as a caller sends it.
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
@@ -174,7 +174,7 @@
 
 impl Fleet {
     /// Finds the workspace that a bearer key belongs to, in constant time.
-    pub fn workspace_by_key(&self, key: KeyHash) -> Option<&Arc<Workspace>> {
+    pub fn workspace_by_key(&self, key: BearerHash) -> Option<&Arc<Workspace>> {
         self.by_key.get(&key)
     }
 
@@ -205,7 +205,7 @@
     }
 }
 
-impl FromStr for KeyHash {
+impl FromStr for BearerHash {
     type Err = ParseIdError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
@@ -224,7 +224,7 @@
     }
 }
 
-impl Display for KeyHash {
+impl Display for BearerHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for byte in self.0 {
             write!(f, "{byte:02x}")?;
@@ -233,7 +233,7 @@
     }
 }
 
-impl Debug for KeyHash {
+impl Debug for BearerHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         Display::fmt(self, f)
     }
--- a/crates/mallowpath/src/fleet_read.rs
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     fleet::{
-        Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
-        WhenUnconfirmed, Workspace,
+        BackendMode, BackendRule, BearerHash, Budget, Fleet, FleetRules, Service, ServiceKind,
+        Services, WhenUnconfirmed, Workspace,
     },
     id::{ServiceId, Tokens},
     ini::IniDocument,
@@ -140,7 +140,7 @@
 
 fn read_workspace(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
     let id = read_name(name, reader);
-    let keys = reader.list::<KeyHash>("key_sha256", HASHES);
+    let keys = reader.list::<BearerHash>("key_sha256", HASHES);
     let budget = reader.required("budget", "the name of a budget of this workspace");
     let services = read_services(reader);
     let home_region = reader.required("home_region", NAME);
@@ -255,11 +255,11 @@
 fn read_backend(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
     let id = read_name(name, reader);
     let states = [
-        ("active", BackendState::Active),
-        ("leaving", BackendState::Leaving),
-        ("excluded", BackendState::Excluded),
+        ("active", BackendMode::Active),
+        ("leaving", BackendMode::Leaving),
+        ("excluded", BackendMode::Excluded),
     ];
-    let state = reader.choice("state", &states, BackendState::Active);
+    let state = reader.choice("state", &states, BackendMode::Active);
     let service = reader.required("service", "the name of a service");
     let text = |text: &str| (!text.is_empty()).then(|| Arc::from(text));
     let role = reader.parse_with("role", "the name of a role", text);
@@ -267,7 +267,7 @@
     let (Some(id), Some(service)) = (id, service) else {
         return;
     };
-    let backend = Backend {
+    let backend = BackendRule {
         id,
         state,
         service,
--- a/crates/mallowpath/src/key.rs
+++ b/crates/mallowpath/src/key.rs
@@ -1,6 +1,6 @@
 //! Idempotency keys: their hashes, the records of the `keys-NN` streams and the replay of claims.
 
-use crate::{Incarnation, Members, Offset, ParseIdError, RequestId, Verdict, WorkspaceId};
+use crate::{ClaimVerdict, Incarnation, Members, Offset, ParseIdError, RequestId, WorkspaceId};
 use std::{
     collections::BTreeMap,
     fmt::{self, Display},
@@ -249,23 +249,28 @@
     /// confirmed fences of both holders. `members` has to be replayed to the offsets of the
     /// evidence; a longer replay gives the same verdict. A log batch is valid when the current
     /// owner wrote it.
-    pub fn apply(&mut self, offset: Offset, record: &KeysRecord, members: &Members) -> Verdict {
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        record: &KeysRecord,
+        members: &Members,
+    ) -> ClaimVerdict {
         if offset < self.next {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         }
         if offset > self.next {
-            return Verdict::Behind;
+            return ClaimVerdict::Behind;
         }
         let verdict = match &record.change {
             Some(KeysChange::Claim(claim)) => self.judge(claim, members),
             Some(KeysChange::Log(batch)) => self.judge_log(batch),
-            Some(KeysChange::Checkpoint(_)) | None => Verdict::Void,
+            Some(KeysChange::Checkpoint(_)) | None => ClaimVerdict::Void,
         };
-        if verdict == Verdict::Behind {
+        if verdict == ClaimVerdict::Behind {
             return verdict;
         }
         self.next = Offset(offset.0 + 1);
-        if let (Verdict::Valid, Some(KeysChange::Claim(claim))) = (verdict, &record.change) {
+        if let (ClaimVerdict::Valid, Some(KeysChange::Claim(claim))) = (verdict, &record.change) {
             self.claims.insert(claim.shard, claim.clone());
         }
         verdict
@@ -281,41 +286,41 @@
         self.next
     }
 
-    fn judge(&self, claim: &Claim, members: &Members) -> Verdict {
+    fn judge(&self, claim: &Claim, members: &Members) -> ClaimVerdict {
         let owner = claim.owner_incarnation();
         let witness = claim.witness_incarnation();
         let none = Incarnation::default();
         if owner == none || witness == none || owner == witness || claim.author != owner.0 {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         }
         let Some(current) = self.claims.get(&claim.shard) else {
             return if claim.epoch == 1 {
-                Verdict::Valid
+                ClaimVerdict::Valid
             } else {
-                Verdict::Void
+                ClaimVerdict::Void
             };
         };
         if claim.epoch != current.epoch + 1 {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         }
         if owner == current.owner_incarnation() || owner == current.witness_incarnation() {
-            return Verdict::Valid;
+            return ClaimVerdict::Valid;
         }
         match &claim.evidence {
             Some(evidence) => judge_evidence(evidence, current, members),
-            None => Verdict::Void,
+            None => ClaimVerdict::Void,
         }
     }
 
-    fn judge_log(&self, batch: &KeyLog) -> Verdict {
+    fn judge_log(&self, batch: &KeyLog) -> ClaimVerdict {
         let Some(current) = self.claims.get(&batch.shard) else {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         };
         let by_owner = batch.author == current.owner_incarnation().0;
         if batch.epoch == current.epoch && by_owner {
-            Verdict::Valid
+            ClaimVerdict::Valid
         } else {
-            Verdict::Void
+            ClaimVerdict::Void
         }
     }
 }
@@ -337,15 +342,19 @@
         .collect()
 }
 
-fn judge_evidence(evidence: &ClaimEvidence, current: &Claim, members: &Members) -> Verdict {
+fn judge_evidence(evidence: &ClaimEvidence, current: &Claim, members: &Members) -> ClaimVerdict {
     let owner_done = Offset(evidence.owner_done_offset);
     let witness_done = Offset(evidence.witness_done_offset);
     if owner_done.max(witness_done) >= members.next_offset() {
-        return Verdict::Behind;
+        return ClaimVerdict::Behind;
     }
     let holds = members.fence_done_offset(current.owner_incarnation()) == Some(owner_done)
         && members.fence_done_offset(current.witness_incarnation()) == Some(witness_done);
-    if holds { Verdict::Valid } else { Verdict::Void }
+    if holds {
+        ClaimVerdict::Valid
+    } else {
+        ClaimVerdict::Void
+    }
 }
 
 fn incarnation_of(peer: Option<&KeyPeer>) -> Incarnation {
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod change;
+mod claim_verdict;
 mod error;
 mod fleet;
 mod fleet_read;
@@ -10,31 +11,31 @@
 mod id;
 mod ini;
 mod issue;
-mod log_client;
-mod replay;
-mod section;
-mod settings;
 mod key;
 mod key_claim;
 mod key_message;
 mod key_replica;
 mod key_table;
 mod load_queue;
+mod log_client;
 mod members;
 mod order;
+mod replay;
 mod run;
 mod run_marks;
-mod verdict;
+mod section;
+mod settings;
 
 pub use backoff::Backoff;
 pub use change::{
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use claim_verdict::ClaimVerdict;
 pub use error::{Category, Error, Result};
 pub use fleet::{
-    Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
-    WhenUnconfirmed, Workspace,
+    BackendMode, BackendRule, BearerHash, Budget, Fleet, FleetRules, Service, ServiceKind,
+    Services, WhenUnconfirmed, Workspace,
 };
 pub use fleet_read::parse_tokens;
 pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
@@ -44,12 +45,6 @@
 };
 pub use ini::{IniDocument, IniSection, IniValue};
 pub use issue::{Issue, IssueReport, Place};
-pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
-pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
-pub use section::{Section, SectionName, Sections, sections_of};
-pub use settings::{
-    HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
-};
 pub use key::{
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
@@ -57,6 +52,7 @@
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
 pub use load_queue::{LoadOrder, LoadQueue, LoadSettings};
+pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use members::{
     Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint,
     MembersRecord, confirmed_hash,
@@ -65,5 +61,9 @@
     OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders,
     OrdersChange, OrdersCheckpoint, OrdersRecord,
 };
+pub use replay::{ConfigLoader, ConfigState, ConfigVerdict, ConfigVoid, ReplayError};
 pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
-pub use verdict::Verdict;
+pub use section::{Section, SectionName, Sections, sections_of};
+pub use settings::{
+    HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+};
--- a/crates/mallowpath/src/members.rs
+++ b/crates/mallowpath/src/members.rs
@@ -4,7 +4,7 @@
 //! valid, and reads every fence before that join; so exactly the sidecars that joined before a fence
 //! have to confirm it.
 
-use crate::{Incarnation, Offset, Verdict};
+use crate::{ClaimVerdict, Incarnation, Offset};
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -201,12 +201,12 @@
     }
 
     /// Judges the record at an offset and applies it when it is valid.
-    pub fn apply(&mut self, offset: Offset, record: &MembersRecord) -> Verdict {
+    pub fn apply(&mut self, offset: Offset, record: &MembersRecord) -> ClaimVerdict {
         if offset < self.next {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         }
         if offset > self.next {
-            return Verdict::Behind;
+            return ClaimVerdict::Behind;
         }
         self.next = Offset(offset.0 + 1);
         let valid = match &record.change {
@@ -218,7 +218,11 @@
             }
             Some(MembersChange::Checkpoint(_)) | None => false,
         };
-        if valid { Verdict::Valid } else { Verdict::Void }
+        if valid {
+            ClaimVerdict::Valid
+        } else {
+            ClaimVerdict::Void
+        }
     }
 
     /// Returns the next offset to apply.
--- a/crates/mallowpath/src/order.rs
+++ b/crates/mallowpath/src/order.rs
@@ -1,6 +1,6 @@
 //! The right to give a backend server orders, and the sidecar's gate for them.
 
-use crate::{BackendId, Incarnation, Offset, Verdict};
+use crate::{BackendId, ClaimVerdict, Incarnation, Offset};
 use std::collections::BTreeMap;
 
 /// A minute.
@@ -121,28 +121,28 @@
     }
 
     /// Judges the record at an offset and applies it when it is valid.
-    pub fn apply(&mut self, offset: Offset, record: &OrdersRecord) -> Verdict {
+    pub fn apply(&mut self, offset: Offset, record: &OrdersRecord) -> ClaimVerdict {
         if offset < self.next {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         }
         if offset > self.next {
-            return Verdict::Behind;
+            return ClaimVerdict::Behind;
         }
         let fence = offset.0 + 1;
         self.next = Offset(fence);
         let Some(OrdersChange::Claim(claim)) = &record.change else {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         };
         let Ok(backend) = claim.backend.parse() else {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         };
         let current = self.rights.get(&backend).map_or(0, |right| right.fence);
         if claim.previous_fence != current {
-            return Verdict::Void;
+            return ClaimVerdict::Void;
         }
         let author = Incarnation(claim.author);
         self.rights.insert(backend, OrderRight { fence, author });
-        Verdict::Valid
+        ClaimVerdict::Valid
     }
 
     /// Returns who may give a backend server orders.
--- a/crates/mallowpath/src/replay.rs
+++ b/crates/mallowpath/src/replay.rs
@@ -30,7 +30,7 @@
 
 /// How replay judged a record.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Verdict {
+pub enum ConfigVerdict {
     /// The change is in force as this version.
     Accepted(Version),
     /// The same change was met before, and made this version unless it was void.
@@ -38,7 +38,7 @@
     /// The change has no effect.
     Void {
         /// The rule that it breaks.
-        reason: VoidReason,
+        reason: ConfigVoid,
         /// Author of the version in force, empty before the first.
         author: Arc<str>,
         /// The version in force.
@@ -50,7 +50,7 @@
 
 /// The rule that a void record breaks.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum VoidReason {
+pub enum ConfigVoid {
     /// It builds on a version that is not the one in force.
     OtherBase(Version),
     /// It would lead to a configuration with these issues.
@@ -129,7 +129,11 @@
     /// # Errors
     ///
     /// Returns an error, and changes nothing, if `offset` is not the next one.
-    pub fn apply(&mut self, offset: Offset, record: &ConfigRecord) -> Result<Verdict, ReplayError> {
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        record: &ConfigRecord,
+    ) -> Result<ConfigVerdict, ReplayError> {
         if offset != self.next {
             return OutOfOrderSnafu {
                 wanted: self.next,
@@ -139,8 +143,8 @@
         }
         let verdict = match &record.entry {
             Some(ConfigEntry::Change(change)) => self.judge(change),
-            Some(ConfigEntry::Checkpoint(_)) => Verdict::Checkpoint,
-            None => self.void(VoidReason::Unreadable),
+            Some(ConfigEntry::Checkpoint(_)) => ConfigVerdict::Checkpoint,
+            None => self.void(ConfigVoid::Unreadable),
         };
         self.next = Offset(offset.0 + 1);
         Ok(verdict)
@@ -181,15 +185,17 @@
         parts
     }
 
-    fn judge(&mut self, change: &Change) -> Verdict {
+    fn judge(&mut self, change: &Change) -> ConfigVerdict {
         for judged in &self.recent {
             if judged.id == change.id {
-                return Verdict::Duplicate((judged.version > 0).then_some(Version(judged.version)));
+                return ConfigVerdict::Duplicate(
+                    (judged.version > 0).then_some(Version(judged.version)),
+                );
             }
         }
         let verdict = self.judge_new(change);
         let version = match verdict {
-            Verdict::Accepted(version) => version.0,
+            ConfigVerdict::Accepted(version) => version.0,
             _ => 0,
         };
         self.recent.push_back(JudgedChange {
@@ -202,10 +208,10 @@
         verdict
     }
 
-    fn judge_new(&mut self, change: &Change) -> Verdict {
+    fn judge_new(&mut self, change: &Change) -> ConfigVerdict {
         let base = Version(change.base_version);
         if base != self.version {
-            return self.void(VoidReason::OtherBase(base));
+            return self.void(ConfigVoid::OtherBase(base));
         }
         let undo = self.replace_sections(change);
         match Fleet::from_sections(&self.sections) {
@@ -213,11 +219,11 @@
                 self.fleet = Arc::new(fleet);
                 self.version = Version(self.next.0 + 1);
                 self.author = Arc::from(change.author.as_str());
-                Verdict::Accepted(self.version)
+                ConfigVerdict::Accepted(self.version)
             }
             Err(report) => {
                 self.restore_sections(undo);
-                self.void(VoidReason::Invalid(report))
+                self.void(ConfigVoid::Invalid(report))
             }
         }
     }
@@ -249,8 +255,8 @@
     }
 
     #[cold]
-    fn void(&self, reason: VoidReason) -> Verdict {
-        Verdict::Void {
+    fn void(&self, reason: ConfigVoid) -> ConfigVerdict {
+        ConfigVerdict::Void {
             reason,
             author: Arc::clone(&self.author),
             version: self.version,
@@ -333,7 +339,7 @@
     (state.state_hash() == head.state_hash).then_some(state)
 }
 
-impl Display for VoidReason {
+impl Display for ConfigVoid {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::OtherBase(base) => write!(f, "it builds on version {base}"),
--- a/crates/mallowpath/tests/change.rs
+++ b/crates/mallowpath/tests/change.rs
@@ -1,8 +1,8 @@
 //! Replay of the configuration stream under racing publishers, repeated appends and checkpoints.
 
 use mallowpath::{
-    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, Delta, IniDocument,
-    Offset, ReplayError, Sections, Verdict, Version, VoidReason, diff, sections_of,
+    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, ConfigVerdict,
+    ConfigVoid, Delta, IniDocument, Offset, ReplayError, Sections, Version, diff, sections_of,
 };
 use proptest::{
     collection::vec,
@@ -34,7 +34,7 @@
     Change::new(ChangeId(id), base, author, 0, &delta).into()
 }
 
-fn replay(mut state: ConfigState, log: &[ConfigRecord]) -> (ConfigState, Vec<Verdict>) {
+fn replay(mut state: ConfigState, log: &[ConfigRecord]) -> (ConfigState, Vec<ConfigVerdict>) {
     let mut verdicts = Vec::new();
     for (offset, record) in (0..).map(Offset).zip(log) {
         if offset < state.next() {
@@ -87,20 +87,20 @@
         let mut expected = Sections::new();
         for (offset, (record, verdict)) in (0..).zip(log.iter().zip(&verdicts)) {
             let Some(ConfigEntry::Change(change)) = &record.entry else {
-                prop_assert!(!matches!(verdict, Verdict::Accepted(_) | Verdict::Duplicate(_)));
+                prop_assert!(!matches!(verdict, ConfigVerdict::Accepted(_) | ConfigVerdict::Duplicate(_)));
                 continue;
             };
             if !ids.insert(change.id) {
-                prop_assert!(matches!(verdict, Verdict::Duplicate(_)));
+                prop_assert!(matches!(verdict, ConfigVerdict::Duplicate(_)));
                 continue;
             }
             if change.base_version != version || !is_valid(change) {
-                let stands = matches!(verdict, Verdict::Void { version: v, .. } if v.0 == version);
+                let stands = matches!(verdict, ConfigVerdict::Void { version: v, .. } if v.0 == version);
                 prop_assert!(stands);
                 continue;
             }
             version = offset + 1;
-            prop_assert_eq!(verdict, &Verdict::Accepted(Version(version)));
+            prop_assert_eq!(verdict, &ConfigVerdict::Accepted(Version(version)));
             for section in &change.set {
                 let section = mallowpath::Section::from(section);
                 expected.insert(section.section_name(), section);
@@ -166,8 +166,8 @@
         change(2, Version(0), "bo", "[service b]"),
         change(1, Version(0), "ann", "[service a]"),
     ];
-    let lost = Verdict::Void {
-        reason: VoidReason::OtherBase(Version(0)),
+    let lost = ConfigVerdict::Void {
+        reason: ConfigVoid::OtherBase(Version(0)),
         author: "ann".into(),
         version: Version(1),
     };
@@ -175,9 +175,9 @@
     assert_eq!(
         verdicts,
         [
-            Verdict::Accepted(Version(1)),
+            ConfigVerdict::Accepted(Version(1)),
             lost,
-            Verdict::Duplicate(Some(Version(1)))
+            ConfigVerdict::Duplicate(Some(Version(1)))
         ]
     );
 }
--- a/crates/mallowpath/tests/config.rs
+++ b/crates/mallowpath/tests/config.rs
@@ -1,7 +1,7 @@
 //! Typed configuration: defaults, look-ups and the report of a broken folder.
 
 use expect_test::expect;
-use mallowpath::{Fleet, IniDocument, KeyHash, Tokens, WhenUnconfirmed, parse_tokens};
+use mallowpath::{BearerHash, Fleet, IniDocument, Tokens, WhenUnconfirmed, parse_tokens};
 
 const WORKSPACES: &str = "
 [workspace panels]
@@ -36,12 +36,12 @@
 fn a_key_finds_its_workspace() {
     let fleet = check(&[("a.ini", WORKSPACES)]).expect("valid configuration");
     let workspace = fleet
-        .workspace_by_key(KeyHash::of("secret"))
+        .workspace_by_key(BearerHash::of("secret"))
         .expect("known key");
     assert_eq!(workspace.id.as_str(), "panels");
     assert_eq!(workspace.when_unconfirmed, WhenUnconfirmed::Refuse);
     assert_eq!(fleet.budgets[&workspace.budget].tokens, Tokens(2_000_000));
-    assert!(fleet.workspace_by_key(KeyHash::of("other")).is_none());
+    assert!(fleet.workspace_by_key(BearerHash::of("other")).is_none());
 }
 
 #[test]
--- a/crates/mallowpath/tests/key_shards.rs
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -2,11 +2,11 @@
 //! messages, pauses, crashes, racing claims and log outages.
 
 use mallowpath::{
-    AttachAnswer, Claim, ClaimEvidence, CommitAnswer, Fence, FenceDone, Incarnation, KeyAck,
-    KeyCopy, KeyCopyHeld, KeyEntry, KeyHash, KeyPeer, KeyReplica, KeySettings, KeyShards,
+    AttachAnswer, Claim, ClaimEvidence, ClaimVerdict, CommitAnswer, Fence, FenceDone, Incarnation,
+    KeyAck, KeyCopy, KeyCopyHeld, KeyEntry, KeyHash, KeyPeer, KeyReplica, KeySettings, KeyShards,
     KeyUpdate, KeysChange, KeysRecord, Members, MembersChange, MembersRecord, Offset, RequestId,
-    RunKey, RunSettings, RunTable, Submit, SubmitAnswer, Verdict, WorkspaceId, confirmed_hash,
-    key_shard, recover_keys,
+    RunKey, RunSettings, RunTable, Submit, SubmitAnswer, WorkspaceId, confirmed_hash, key_shard,
+    recover_keys,
 };
 use proptest::{
     collection::vec,
@@ -329,7 +329,7 @@
             shards.apply(offset, &record(earlier.clone()), &Members::default());
         }
         let next = shards.next_offset();
-        if shards.apply(next, &record(claim.clone()), &Members::default()) == Verdict::Valid {
+        if shards.apply(next, &record(claim.clone()), &Members::default()) == ClaimVerdict::Valid {
             self.log.push(claim);
         }
     }
@@ -429,8 +429,8 @@
             let before = whole.claim(0).cloned();
             let verdict = whole.apply(offset, record, &Members::default());
             assert_eq!(verdict, resumed.apply(offset, record, &Members::default()));
-            assert_eq!(whole.apply(offset, record, &Members::default()), Verdict::Void);
-            assert_eq!(verdict == Verdict::Valid, before.as_ref() != whole.claim(0));
+            assert_eq!(whole.apply(offset, record, &Members::default()), ClaimVerdict::Void);
+            assert_eq!(verdict == ClaimVerdict::Valid, before.as_ref() != whole.claim(0));
         }
         assert_eq!(whole, resumed);
     }
@@ -536,7 +536,7 @@
         };
         assert_eq!(
             members.apply(Offset(offset as u64), &record),
-            Verdict::Valid
+            ClaimVerdict::Valid
         );
     }
     let evidence = ClaimEvidence {
@@ -552,7 +552,7 @@
     shards.apply(Offset(0), &record(first), &members);
     assert_eq!(
         shards.apply(Offset(1), &record(forced.clone()), &members),
-        Verdict::Behind
+        ClaimVerdict::Behind
     );
     let wrong = ClaimEvidence {
         witness_done_offset: 1,
@@ -564,7 +564,7 @@
     };
     assert_eq!(
         shards.clone().apply(Offset(1), &record(early), &members),
-        Verdict::Void
+        ClaimVerdict::Void
     );
     let bare = Claim {
         evidence: None,
@@ -572,7 +572,7 @@
     };
     assert_eq!(
         shards.clone().apply(Offset(1), &record(bare), &members),
-        Verdict::Void
+        ClaimVerdict::Void
     );
     members.apply(
         Offset(3),
@@ -582,7 +582,7 @@
     );
     assert_eq!(
         shards.apply(Offset(1), &record(forced.clone()), &members),
-        Verdict::Valid
+        ClaimVerdict::Valid
     );
 
     c.see_claim(&forced, 0);
--- a/crates/mallowpath/tests/members.rs
+++ b/crates/mallowpath/tests/members.rs
@@ -1,8 +1,8 @@
 //! Replay of the `members` stream.
 
 use mallowpath::{
-    Fence, FenceDone, Incarnation, Join, Leave, Members, MembersChange, MembersCheckpoint,
-    MembersRecord, Offset, Verdict, confirmed_hash,
+    ClaimVerdict, Fence, FenceDone, Incarnation, Join, Leave, Members, MembersChange,
+    MembersCheckpoint, MembersRecord, Offset, confirmed_hash,
 };
 use proptest::{
     collection::vec,
@@ -38,7 +38,7 @@
     })
 }
 
-fn apply(members: &mut Members, change: MembersChange) -> Verdict {
+fn apply(members: &mut Members, change: MembersChange) -> ClaimVerdict {
     members.apply(
         members.next_offset(),
         &MembersRecord {
@@ -82,7 +82,7 @@
             let verdict = apply(&mut whole, change.clone());
             assert_eq!(verdict, apply(&mut resumed, change.clone()));
             // A copy in a later place is void, as after a lost answer.
-            assert_eq!(apply(&mut whole.clone(), change), Verdict::Void);
+            assert_eq!(apply(&mut whole.clone(), change), ClaimVerdict::Void);
         }
         assert_eq!(whole, resumed);
     }
@@ -98,21 +98,21 @@
         fence(9),
         join(4, 4, 0),
     ] {
-        assert_eq!(apply(&mut members, change), Verdict::Valid);
+        assert_eq!(apply(&mut members, change), ClaimVerdict::Valid);
     }
     let all = [1, 2, 3].map(Incarnation);
     assert_eq!(members.must_confirm(Offset(3)), BTreeSet::from(all));
-    assert_eq!(apply(&mut members, done(9, &[1, 2])), Verdict::Void);
-    assert_eq!(apply(&mut members, join(5, 1, 1)), Verdict::Valid);
+    assert_eq!(apply(&mut members, done(9, &[1, 2])), ClaimVerdict::Void);
+    assert_eq!(apply(&mut members, join(5, 1, 1)), ClaimVerdict::Valid);
     apply(&mut members, MembersChange::Leave(Leave { incarnation: 2 }));
-    assert_eq!(apply(&mut members, done(9, &[3])), Verdict::Valid);
+    assert_eq!(apply(&mut members, done(9, &[3])), ClaimVerdict::Valid);
     assert_eq!(members.fence_done_offset(Incarnation(9)), Some(Offset(8)));
 }
 
 #[test]
 fn a_delayed_join_of_a_dead_sidecar_does_not_displace_the_live_one() {
     let mut members = Members::default();
-    assert_eq!(apply(&mut members, join(2, 1, 0)), Verdict::Valid);
-    assert_eq!(apply(&mut members, join(1, 1, 0)), Verdict::Void);
+    assert_eq!(apply(&mut members, join(2, 1, 0)), ClaimVerdict::Valid);
+    assert_eq!(apply(&mut members, join(1, 1, 0)), ClaimVerdict::Void);
     assert!(members.must_confirm(Offset(2)).contains(&Incarnation(2)));
 }
--- a/crates/mallowpath/tests/order.rs
+++ b/crates/mallowpath/tests/order.rs
@@ -1,8 +1,8 @@
 //! Rights to give orders, the sidecar's gate and the load queue.
 
 use mallowpath::{
-    LoadOrder, LoadQueue, LoadSettings, Offset, OrderAnswer, OrderClaim, OrderGate, OrderSettings,
-    Orders, OrdersChange, OrdersRecord, Verdict,
+    ClaimVerdict, LoadOrder, LoadQueue, LoadSettings, Offset, OrderAnswer, OrderClaim, OrderGate,
+    OrderSettings, Orders, OrdersChange, OrdersRecord,
 };
 use proptest::{
     collection::vec,
@@ -93,11 +93,11 @@
             change: Some(OrdersChange::Claim(claim)),
         }
     };
-    assert_eq!(orders.apply(Offset(0), &claim(1, 0)), Verdict::Valid);
-    assert_eq!(orders.apply(Offset(1), &claim(2, 0)), Verdict::Void);
-    assert_eq!(orders.apply(Offset(2), &claim(1, 0)), Verdict::Void);
+    assert_eq!(orders.apply(Offset(0), &claim(1, 0)), ClaimVerdict::Valid);
+    assert_eq!(orders.apply(Offset(1), &claim(2, 0)), ClaimVerdict::Void);
+    assert_eq!(orders.apply(Offset(2), &claim(1, 0)), ClaimVerdict::Void);
     orders = Orders::from_checkpoint(&orders.checkpoint());
-    assert_eq!(orders.apply(Offset(3), &claim(2, 1)), Verdict::Valid);
+    assert_eq!(orders.apply(Offset(3), &claim(2, 1)), ClaimVerdict::Valid);
     assert_eq!(
         orders
             .right(&"b".parse().expect("a name"))
