Add ledger replay, keeper and wallet decisions

Cause: budgets need rules that every reader of the ledger streams applies alike, and holders that spend between appends without asking anyone.

Weighed and ruled out: - A set of all grant and top-up identifiers: grows for ever. Draws carry a rising sequence number per incarnation, so one watermark each suffices; top-ups name the offset at which they were issued and expire 65,536 offsets later. Both are forgotten by offset, a function of the prefix. A copy of a draw that comes after that strands tokens, it can't overspend. - Several batches of a keeper under way: late ones would be void by the watermark. One at a time. - A keeper that keeps only granted answers: a late copy of a refused request opened a slice that nobody took. Refusals are kept too.

The arrival of a grant now counts as use.

--- /dev/null
+++ b/crates/mallowpath/src/checkpoint.rs
@@ -0,0 +1,173 @@
+//! Checkpoints: the replayed state of a shard, written into its stream before records expire.
+//!
+//! A checkpoint depends only on the records below its offset, so every reader makes the same one.
+
+use crate::{
+    Balance, BudgetId, Incarnation, Ledger, LedgerError, Offset, Tokens, Version,
+    ledger::{LastDraw, OpenGrant},
+    ledger_records::{CheckpointRecord, DrawRecord, RecordId},
+    verdict::DamagedCheckpointSnafu,
+};
+use prost::Message;
+use xxhash_rust::xxh3::xxh3_64;
+
+impl Ledger {
+    /// Returns a checkpoint of the state, the same at every reader that has replayed as far.
+    pub fn checkpoint(&self) -> CheckpointRecord {
+        let state = self.to_state().encode_to_vec();
+        let state_hash = xxh3_64(&state);
+        CheckpointRecord {
+            upto: self.next,
+            state,
+            state_hash,
+        }
+    }
+
+    /// Returns a hash of the state, equal at readers with equal states.
+    pub fn state_hash(&self) -> u64 {
+        xxh3_64(&self.to_state().encode_to_vec())
+    }
+
+    /// Restores the state in a checkpoint; replay goes on at its offset `upto`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the state doesn't match its hash or has no meaning.
+    pub fn restore(checkpoint: &CheckpointRecord) -> Result<Self, LedgerError> {
+        let upto = Offset(checkpoint.upto);
+        let damaged = || DamagedCheckpointSnafu { upto }.build();
+        if xxh3_64(&checkpoint.state) != checkpoint.state_hash {
+            return Err(damaged());
+        }
+        match LedgerState::decode(checkpoint.state.as_slice()) {
+            Ok(state) if state.next == checkpoint.upto => state.into_ledger().ok_or_else(damaged),
+            _ => Err(damaged()),
+        }
+    }
+
+    fn to_state(&self) -> LedgerState {
+        let mut state = LedgerState {
+            next: self.next,
+            ..LedgerState::default()
+        };
+        for (budget, balance) in &self.budgets {
+            state.budgets.push(BudgetState {
+                budget: budget.to_string(),
+                limit: balance.limit.0,
+                version: balance.version.0,
+                top_ups: balance.top_ups.0,
+                spent: balance.spent.0,
+            });
+        }
+        for (id, grant) in &self.grants {
+            let budget = grant.budget.to_string();
+            state.grants.push(DrawRecord {
+                budget,
+                grant: (*id).into(),
+                tokens: grant.tokens,
+            });
+        }
+        for (incarnation, last) in &self.last_draws {
+            let id = RecordId {
+                incarnation: incarnation.0,
+                sequence: last.sequence,
+            };
+            state.last_draws.push(SeenState {
+                id,
+                offset: last.offset,
+            });
+        }
+        for (key, offset) in &self.top_ups {
+            let id = RecordId {
+                incarnation: *key,
+                sequence: 0,
+            };
+            state.top_ups.push(SeenState {
+                id,
+                offset: *offset,
+            });
+        }
+        state
+    }
+}
+
+/// The state in a checkpoint, in ascending order of its keys.
+#[derive(Clone, PartialEq, prost::Message)]
+struct LedgerState {
+    #[prost(uint64, tag = "1")]
+    next: u64,
+    #[prost(message, repeated, tag = "2")]
+    budgets: Vec<BudgetState>,
+    #[prost(message, repeated, tag = "3")]
+    grants: Vec<DrawRecord>,
+    #[prost(message, repeated, tag = "4")]
+    last_draws: Vec<SeenState>,
+    #[prost(message, repeated, tag = "5")]
+    top_ups: Vec<SeenState>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct BudgetState {
+    #[prost(string, tag = "1")]
+    budget: String,
+    #[prost(uint64, tag = "2")]
+    limit: u64,
+    #[prost(uint64, tag = "3")]
+    version: u64,
+    #[prost(uint64, tag = "4")]
+    top_ups: u64,
+    #[prost(uint64, tag = "5")]
+    spent: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct SeenState {
+    #[prost(message, required, tag = "1")]
+    id: RecordId,
+    #[prost(uint64, tag = "2")]
+    offset: u64,
+}
+
+impl LedgerState {
+    fn into_ledger(self) -> Option<Ledger> {
+        let mut ledger = Ledger {
+            next: self.next,
+            ..Ledger::default()
+        };
+        for state in self.budgets {
+            let balance = Balance {
+                limit: Tokens(state.limit),
+                version: Version(state.version),
+                top_ups: Tokens(state.top_ups),
+                spent: Tokens(state.spent),
+                open: Tokens::ZERO,
+            };
+            ledger.budgets.insert(state.budget.parse().ok()?, balance);
+        }
+        for state in self.grants {
+            // Shares the name with the table of budgets.
+            let name = state.budget.parse::<BudgetId>().ok()?;
+            let budget = ledger.budgets.get_key_value(&name)?.0.clone();
+            let balance = ledger.budgets.get_mut(&name)?;
+            balance.open = balance.open.saturating_add(Tokens(state.tokens));
+            ledger.grants.insert(
+                state.grant.into(),
+                OpenGrant {
+                    budget,
+                    tokens: state.tokens,
+                },
+            );
+        }
+        for SeenState { id, offset } in self.last_draws {
+            let last = LastDraw {
+                sequence: id.sequence,
+                offset,
+            };
+            ledger.last_draws.insert(Incarnation(id.incarnation), last);
+        }
+        for SeenState { id, offset } in self.top_ups {
+            ledger.top_ups.insert(id.incarnation, offset);
+        }
+        Some(ledger)
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/keeper.rs
@@ -0,0 +1,388 @@
+//! Decisions of a keeper: one router incarnation that hands out the budgets of one shard.
+//!
+//! The keeper draws grants from the ledger ahead of need and cuts them into slices for routers. It
+//! goes on from what it holds while the log is down. Several keepers of one shard waste grants but
+//! can't overspend, as the ledger judges every draw.
+
+use crate::{
+    Balance, BudgetId, Effect, GrantId, Incarnation, Ledger, LedgerBatch, LedgerError,
+    LedgerRecord, Offset, SliceId, Tokens, Version,
+    keeper_account::{Account, Answered, HeldGrant, account_mut},
+    outbox::Outbox,
+    slice::{Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
+
+/// How a keeper sizes its grants and slices.
+#[derive(Debug, Clone)]
+pub struct KeeperSettings {
+    /// How far ahead of its rate the keeper draws, and a slice lasts.
+    pub horizon_ms: u64,
+    /// One draw or slice takes at most what is left divided by this, unless a request needs more.
+    pub share_divisor: u64,
+    /// A grant of a budget that had no request for this long is returned.
+    pub idle_ms: u64,
+    /// The same while nothing is left outside of grants.
+    pub scarce_idle_ms: u64,
+    /// A batch not read back after this long is appended again.
+    pub retry_ms: u64,
+    /// The most records of one batch.
+    pub max_batch_records: usize,
+}
+
+/// The state of one keeper incarnation for one shard.
+#[derive(Debug)]
+pub struct Keeper {
+    incarnation: Incarnation,
+    settings: KeeperSettings,
+    ledger: Ledger,
+    accounts: BTreeMap<BudgetId, Account>,
+    fenced: BTreeSet<Incarnation>,
+    last_grant: u64,
+    last_slice: u64,
+    outbox: Outbox,
+    revoked: bool,
+}
+
+impl Keeper {
+    /// Makes a keeper that starts from a replayed state of its shard.
+    pub fn new(incarnation: Incarnation, ledger: Ledger, settings: KeeperSettings) -> Self {
+        Self {
+            incarnation,
+            settings,
+            ledger,
+            accounts: BTreeMap::new(),
+            fenced: BTreeSet::new(),
+            last_grant: 0,
+            last_slice: 0,
+            outbox: Outbox::new(incarnation),
+            revoked: false,
+        }
+    }
+
+    /// Returns the replayed state of the shard.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Takes a record of the ledger stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails without a change when records are missing before `offset`.
+    pub fn replay(
+        &mut self,
+        offset: Offset,
+        batch: &LedgerBatch,
+        now_ms: u64,
+    ) -> Result<(), LedgerError> {
+        let verdicts = self.ledger.apply(offset, batch)?;
+        for verdict in verdicts {
+            let Some(grant) = verdict.grant else { continue };
+            let Some(budget) = verdict.budget else {
+                continue;
+            };
+            if grant.incarnation == self.incarnation {
+                self.settle_grant(&budget, grant, verdict.effect, now_ms);
+            }
+        }
+        self.outbox.read_back(batch);
+        Ok(())
+    }
+
+    fn settle_grant(&mut self, budget: &BudgetId, grant: GrantId, effect: Effect, now_ms: u64) {
+        let account = account_mut(&mut self.accounts, &self.settings, budget, now_ms);
+        let drawn = account.draw == Some(grant.sequence);
+        if drawn {
+            account.draw = None;
+        }
+        match effect {
+            Effect::Granted(tokens) if drawn => {
+                // Counts as use, so that the requests that waited for the grant find it.
+                account.used_ms = now_ms;
+                let held = HeldGrant {
+                    free: tokens,
+                    open: BTreeMap::new(),
+                    closing: false,
+                };
+                account.grants.insert(grant.sequence, held);
+            }
+            // A copy of a draw that came after the ledger forgot the first: nobody holds it.
+            Effect::Granted(tokens) => self.outbox.push(LedgerRecord::close(grant, tokens)),
+            Effect::Returned(_) => {
+                account.grants.remove(&grant.sequence);
+            }
+            Effect::Reclaimed(_) => {
+                // Others proved what this incarnation left unspent, so it was fenced.
+                account.grants.remove(&grant.sequence);
+                self.revoked = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers a router's request for tokens.
+    pub fn request(&mut self, request: &SliceRequest, now_ms: u64) -> SliceReply {
+        let answer = self.answer(request, now_ms);
+        let oldest_open_grant = self.oldest_open_grant(&request.budget);
+        SliceReply {
+            number: request.number,
+            oldest_open_grant,
+            unspent: self
+                .ledger
+                .balance(&request.budget)
+                .unwrap_or_default()
+                .unspent(),
+            answer,
+        }
+    }
+
+    fn answer(&mut self, request: &SliceRequest, now_ms: u64) -> SliceAnswer {
+        if self.revoked || self.fenced.contains(&request.router) {
+            return SliceAnswer::Stale;
+        }
+        let Some(balance) = self.ledger.balance(&request.budget) else {
+            return SliceAnswer::UnknownBudget;
+        };
+        let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
+        if let Some(answered) = account.answered.get(&request.router) {
+            if answered.number == request.number {
+                return answered.answer.clone();
+            }
+            if answered.number > request.number {
+                return SliceAnswer::Stale;
+            }
+        }
+        let answer = self.decide(request, balance, now_ms);
+        // A refusal is kept as well: a late copy of the request must not open a slice, as the router
+        // has moved on to its next request by then.
+        let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
+        let answered = Answered {
+            number: request.number,
+            answer: answer.clone(),
+        };
+        account.answered.insert(request.router, answered);
+        answer
+    }
+
+    fn decide(&mut self, request: &SliceRequest, balance: Balance, now_ms: u64) -> SliceAnswer {
+        let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
+        account.used_ms = now_ms;
+        let needed = Tokens(request.needed.0.max(1));
+        let free = account.free();
+        if free < needed {
+            if balance.unspent() < request.reservation.max(needed) {
+                return SliceAnswer::Exhausted;
+            }
+            self.draw(&request.budget, needed.saturating_sub(free), now_ms);
+            return SliceAnswer::Short {
+                retry_after_ms: self.retry_after_ms(),
+            };
+        }
+        let share = Tokens(free.saturating_add(balance.left()).0 / self.settings.share_divisor);
+        let tokens = request.expected.min(share).max(needed).min(free);
+        account.rate.add(tokens, now_ms);
+        let slices = account.cut(request, tokens, self.incarnation, &mut self.last_slice);
+        self.refill(&request.budget, now_ms);
+        SliceAnswer::Granted(slices)
+    }
+
+    fn oldest_open_grant(&self, budget: &BudgetId) -> u64 {
+        let Some(account) = self.accounts.get(budget) else {
+            return self.last_grant + 1;
+        };
+        let held = account.grants.keys().next().copied();
+        let oldest = held.or(account.draw);
+        oldest.unwrap_or(self.last_grant + 1)
+    }
+
+    fn retry_after_ms(&self) -> u64 {
+        let attempts = self.outbox.attempts();
+        self.settings
+            .retry_ms
+            .saturating_mul(attempts.clamp(1, MAX_RETRY_FACTOR))
+    }
+
+    /// Draws when less is free than half a horizon's use.
+    fn refill(&mut self, budget: &BudgetId, now_ms: u64) {
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        let expected = account.rate.expected(now_ms);
+        if account.free().0 < expected.0 / 2 {
+            self.draw(budget, Tokens::ZERO, now_ms);
+        }
+    }
+
+    /// Queues a draw of what is needed or, if the shares allow, of a horizon's use.
+    fn draw(&mut self, budget: &BudgetId, needed: Tokens, now_ms: u64) {
+        let Some(balance) = self.ledger.balance(budget) else {
+            return;
+        };
+        let account = account_mut(&mut self.accounts, &self.settings, budget, now_ms);
+        if account.draw.is_some() || balance.left() == Tokens::ZERO {
+            return;
+        }
+        let share = Tokens(balance.left().0 / self.settings.share_divisor);
+        let tokens = account.rate.expected(now_ms).min(share).max(needed);
+        if tokens == Tokens::ZERO {
+            return;
+        }
+        self.last_grant += 1;
+        account.draw = Some(self.last_grant);
+        let grant = GrantId {
+            incarnation: self.incarnation,
+            sequence: self.last_grant,
+        };
+        self.outbox.push(LedgerRecord::draw(budget, grant, tokens));
+    }
+
+    /// Takes a slice back; a second copy changes nothing.
+    ///
+    /// Returns whether the router can forget the slice. A return of more than the slice holds is
+    /// refused, and the slice stays out.
+    pub fn return_slice(&mut self, returned: &SliceReturn) -> bool {
+        let Some(account) = self.accounts.get_mut(&returned.budget) else {
+            return true;
+        };
+        let Some(grant) = account.grants.get_mut(&returned.slice.grant.sequence) else {
+            return true;
+        };
+        let sequence = returned.slice.id.sequence;
+        let Some(open) = grant.open.get(&sequence) else {
+            return true;
+        };
+        if returned.unspent > open.tokens {
+            return false;
+        }
+        grant.open.remove(&sequence);
+        grant.free = grant.free.saturating_add(returned.unspent);
+        true
+    }
+
+    /// Refuses requests of a fenced router from now on.
+    pub fn fence_router(&mut self, router: Incarnation) {
+        self.fenced.insert(router);
+    }
+
+    /// Returns the open slices of a router with their budgets.
+    pub fn open_slices(&self, router: Incarnation) -> Vec<(BudgetId, Slice)> {
+        let mut slices = Vec::new();
+        for (budget, account) in &self.accounts {
+            for (grant, held) in &account.grants {
+                for (sequence, open) in &held.open {
+                    if open.router != router {
+                        continue;
+                    }
+                    let id = SliceId {
+                        incarnation: self.incarnation,
+                        sequence: *sequence,
+                    };
+                    let grant = GrantId {
+                        incarnation: self.incarnation,
+                        sequence: *grant,
+                    };
+                    slices.push((
+                        budget.clone(),
+                        Slice {
+                            id,
+                            grant,
+                            tokens: open.tokens,
+                        },
+                    ));
+                }
+            }
+        }
+        slices
+    }
+
+    /// Queues a limit out of the configuration unless the ledger has it.
+    pub fn set_limit(&mut self, budget: &BudgetId, version: Version, tokens: Tokens) {
+        let known = self.ledger.balance(budget).unwrap_or_default();
+        if version > known.version {
+            self.outbox
+                .push(LedgerRecord::limit(budget, version, tokens));
+        }
+    }
+
+    /// Queues records made elsewhere, such as proven reclaims.
+    pub fn push(&mut self, record: LedgerRecord) {
+        self.outbox.push(record);
+    }
+
+    /// Refills accounts, and closes grants that are used up or idle.
+    pub fn tick(&mut self, now_ms: u64) {
+        let budgets: Vec<BudgetId> = self.accounts.keys().cloned().collect();
+        for budget in budgets {
+            self.close_grants(&budget, now_ms);
+            self.refill(&budget, now_ms);
+        }
+        let forget_ms = self.settings.idle_ms.saturating_mul(FORGET_IDLE_PERIODS);
+        self.accounts.retain(|_, account| {
+            let unused = now_ms.saturating_sub(account.used_ms) >= forget_ms;
+            !unused || account.draw.is_some() || !account.grants.is_empty()
+        });
+    }
+
+    fn close_grants(&mut self, budget: &BudgetId, now_ms: u64) {
+        let left = self.ledger.balance(budget).unwrap_or_default().left();
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        let scarce = left == Tokens::ZERO;
+        let idle_ms = if scarce {
+            self.settings.scarce_idle_ms
+        } else {
+            self.settings.idle_ms
+        };
+        let idle = now_ms.saturating_sub(account.used_ms) >= idle_ms;
+        for (sequence, grant) in &mut account.grants {
+            let used_up = grant.free == Tokens::ZERO;
+            if grant.closing || !grant.open.is_empty() || !(used_up || idle) {
+                continue;
+            }
+            grant.closing = true;
+            let id = GrantId {
+                incarnation: self.incarnation,
+                sequence: *sequence,
+            };
+            self.outbox
+                .push(LedgerRecord::close(id, mem::take(&mut grant.free)));
+        }
+    }
+
+    /// Returns the batch to append now, if any.
+    ///
+    /// One batch is under way at a time. It is returned again, unchanged, until it is read back.
+    pub fn batch(&mut self, now_ms: u64) -> Option<LedgerBatch> {
+        self.outbox.batch(
+            self.settings.retry_ms,
+            self.settings.max_batch_records,
+            now_ms,
+        )
+    }
+}
+
+/// An account without grants is forgotten after this many idle periods.
+///
+/// A copy of a request that arrives later still can strand a slice until this incarnation ends.
+const FORGET_IDLE_PERIODS: u64 = 60;
+
+/// The longest wait asked of a router, in retry periods.
+const MAX_RETRY_FACTOR: u64 = 10;
+
+impl Default for KeeperSettings {
+    fn default() -> Self {
+        Self {
+            horizon_ms: 2_000,
+            share_divisor: 8,
+            idle_ms: 10_000,
+            scarce_idle_ms: 1_000,
+            retry_ms: 500,
+            max_batch_records: 4_096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/ledger.rs
@@ -0,0 +1,286 @@
+//! The state of one shard of budgets, replayed from its ledger stream.
+//!
+//! Whether a record counts depends only on the records before it, so that all readers agree. Every
+//! rule errs to the side of less to spend when identifiers have been forgotten.
+
+use crate::{
+    Balance, BudgetId, Effect, GrantId, Incarnation, LedgerError, Offset, Tokens, Verdict, Version,
+    VoidReason,
+    ledger_records::{CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LimitRecord, TopUpRecord},
+    verdict::GapSnafu,
+};
+use prost::Message;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The largest limit and the largest sum of top-ups of one budget, in tokens.
+///
+/// Sums of both stay within a signed 64-bit number.
+pub const MAX_BUDGET_TOKENS: u64 = 1 << 60;
+
+/// How long identifiers are remembered after their last use, in offsets of the stream.
+pub const DEDUPE_WINDOW_OFFSETS: u64 = 1 << 16;
+
+/// How often forgotten identifiers are removed, in offsets of the stream.
+const PRUNE_INTERVAL_OFFSETS: u64 = 1 << 10;
+
+/// The replayed state of one shard.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ledger {
+    pub(crate) next: u64,
+    pub(crate) budgets: BTreeMap<BudgetId, Balance>,
+    pub(crate) grants: BTreeMap<GrantId, OpenGrant>,
+    pub(crate) last_draws: BTreeMap<Incarnation, LastDraw>,
+    pub(crate) top_ups: BTreeMap<u64, u64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct OpenGrant {
+    pub(crate) budget: BudgetId,
+    pub(crate) tokens: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LastDraw {
+    pub(crate) sequence: u64,
+    pub(crate) offset: u64,
+}
+
+/// Returns the shard of a budget among `shards` shards.
+pub fn shard_of(budget: &BudgetId, shards: u32) -> u32 {
+    let hash = xxh3_64(budget.as_str().as_bytes());
+    u32::try_from(hash % u64::from(shards.max(1))).unwrap_or_default()
+}
+
+impl Ledger {
+    /// Returns the offset of the first record that the state doesn't contain.
+    pub fn next(&self) -> Offset {
+        Offset(self.next)
+    }
+
+    /// Returns what a budget holds, or nothing when no limit was ever set for it.
+    pub fn balance(&self, budget: &BudgetId) -> Option<Balance> {
+        self.budgets.get(budget).copied()
+    }
+
+    /// Returns every budget with what it holds, in the order of names.
+    pub fn balances(&self) -> impl Iterator<Item = (&BudgetId, &Balance)> {
+        self.budgets.iter()
+    }
+
+    /// Returns the open grants of an incarnation with their budgets and amounts.
+    pub fn open_grants(&self, holder: Incarnation) -> Vec<(GrantId, BudgetId, Tokens)> {
+        let first = GrantId {
+            incarnation: holder,
+            sequence: 0,
+        };
+        let last = GrantId {
+            incarnation: holder,
+            sequence: u64::MAX,
+        };
+        let mut open = Vec::new();
+        for (id, grant) in self.grants.range(first..=last) {
+            open.push((*id, grant.budget.clone(), Tokens(grant.tokens)));
+        }
+        open
+    }
+
+    /// Judges the batch at an offset and returns one verdict for each record.
+    ///
+    /// A batch below the state's next offset was judged before and gets no verdicts.
+    ///
+    /// # Errors
+    ///
+    /// Fails without a change when records are missing before `offset`.
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        batch: &LedgerBatch,
+    ) -> Result<Vec<Verdict>, LedgerError> {
+        if offset.0 < self.next {
+            return Ok(Vec::new());
+        }
+        if offset.0 > self.next {
+            return GapSnafu {
+                expected: self.next(),
+                found: offset,
+            }
+            .fail();
+        }
+        let mut verdicts = Vec::with_capacity(batch.records.len());
+        for record in &batch.records {
+            verdicts.push(self.judge(offset.0, record.entry.as_ref()));
+        }
+        self.next += 1;
+        if self.next.is_multiple_of(PRUNE_INTERVAL_OFFSETS) {
+            self.prune();
+        }
+        Ok(verdicts)
+    }
+
+    /// Judges the bytes at an offset; bytes that aren't a batch change nothing but the offset.
+    ///
+    /// # Errors
+    ///
+    /// Fails without a change when records are missing before `offset`.
+    pub fn apply_bytes(
+        &mut self,
+        offset: Offset,
+        bytes: &[u8],
+    ) -> Result<Vec<Verdict>, LedgerError> {
+        let batch = LedgerBatch::decode(bytes).unwrap_or_default();
+        self.apply(offset, &batch)
+    }
+
+    fn judge(&mut self, offset: u64, entry: Option<&LedgerEntry>) -> Verdict {
+        match entry {
+            Some(LedgerEntry::Limit(record)) => self.judge_limit(record),
+            Some(LedgerEntry::TopUp(record)) => self.judge_top_up(offset, record),
+            Some(LedgerEntry::Draw(record)) => self.judge_draw(offset, record),
+            Some(LedgerEntry::Return(record)) => self.judge_close(record, Effect::Returned),
+            Some(LedgerEntry::Reclaim(record)) => self.judge_close(record, Effect::Reclaimed),
+            Some(LedgerEntry::Checkpoint(_)) => verdict(None, None, Effect::Checkpointed),
+            None => verdict(None, None, Effect::Void(VoidReason::Malformed)),
+        }
+    }
+
+    fn judge_limit(&mut self, record: &LimitRecord) -> Verdict {
+        let Ok(budget) = record.budget.parse::<BudgetId>() else {
+            return verdict(None, None, Effect::Void(VoidReason::Malformed));
+        };
+        if record.tokens > MAX_BUDGET_TOKENS {
+            return verdict(Some(budget), None, Effect::Void(VoidReason::TooLarge));
+        }
+        let balance = self.budgets.entry(budget.clone()).or_default();
+        // Version 0 is "no version", so the first record of a budget always has a later one.
+        if record.version <= balance.version.0 {
+            let unset = balance.version.0 == 0;
+            if unset {
+                self.budgets.remove(&budget);
+            }
+            return verdict(Some(budget), None, Effect::Void(VoidReason::Duplicate));
+        }
+        balance.version = Version(record.version);
+        balance.limit = Tokens(record.tokens);
+        verdict(Some(budget), None, Effect::Limited(Tokens(record.tokens)))
+    }
+
+    fn judge_top_up(&mut self, offset: u64, record: &TopUpRecord) -> Verdict {
+        let Ok(budget) = record.budget.parse::<BudgetId>() else {
+            return verdict(None, None, Effect::Void(VoidReason::Malformed));
+        };
+        let effect = self.top_up(offset, &budget, record);
+        verdict(Some(budget), None, effect)
+    }
+
+    fn top_up(&mut self, offset: u64, budget: &BudgetId, record: &TopUpRecord) -> Effect {
+        let Some(balance) = self.budgets.get_mut(budget) else {
+            return Effect::Void(VoidReason::UnknownBudget);
+        };
+        if record.issued_at > offset || record.id.is_empty() {
+            return Effect::Void(VoidReason::Malformed);
+        }
+        if offset - record.issued_at > DEDUPE_WINDOW_OFFSETS {
+            return Effect::Void(VoidReason::Expired);
+        }
+        let id = top_up_key(budget, &record.id);
+        if self.top_ups.contains_key(&id) {
+            return Effect::Void(VoidReason::Duplicate);
+        }
+        let sum = balance.top_ups.saturating_add(Tokens(record.tokens));
+        if sum.0 > MAX_BUDGET_TOKENS {
+            return Effect::Void(VoidReason::TooLarge);
+        }
+        balance.top_ups = sum;
+        self.top_ups.insert(id, offset);
+        Effect::ToppedUp(Tokens(record.tokens))
+    }
+
+    fn judge_draw(&mut self, offset: u64, record: &DrawRecord) -> Verdict {
+        let grant = GrantId::from(record.grant);
+        let Ok(budget) = record.budget.parse::<BudgetId>() else {
+            return verdict(None, Some(grant), Effect::Void(VoidReason::Malformed));
+        };
+        let effect = self.draw(offset, &budget, grant, record.tokens);
+        verdict(Some(budget), Some(grant), effect)
+    }
+
+    fn draw(&mut self, offset: u64, budget: &BudgetId, grant: GrantId, asked: u64) -> Effect {
+        let last = self.last_draws.get(&grant.incarnation);
+        if last.is_some_and(|last| grant.sequence <= last.sequence) {
+            return Effect::Void(VoidReason::Duplicate);
+        }
+        if self.grants.contains_key(&grant) {
+            return Effect::Void(VoidReason::Duplicate);
+        }
+        // A void draw counts as seen too: its verdict must not change with a second copy.
+        self.last_draws.insert(
+            grant.incarnation,
+            LastDraw {
+                sequence: grant.sequence,
+                offset,
+            },
+        );
+        let Some(balance) = self.budgets.get_mut(budget) else {
+            return Effect::Void(VoidReason::UnknownBudget);
+        };
+        let granted = Tokens(asked.min(balance.left().0));
+        if granted == Tokens::ZERO {
+            return Effect::Void(VoidReason::NothingLeft);
+        }
+        balance.open = balance.open.saturating_add(granted);
+        self.grants.insert(
+            grant,
+            OpenGrant {
+                budget: budget.clone(),
+                tokens: granted.0,
+            },
+        );
+        Effect::Granted(granted)
+    }
+
+    fn judge_close(&mut self, record: &CloseRecord, effect: fn(Tokens) -> Effect) -> Verdict {
+        let grant = GrantId::from(record.grant);
+        let Some(open) = self.grants.get(&grant) else {
+            return verdict(None, Some(grant), Effect::Void(VoidReason::NotOpen));
+        };
+        let (budget, tokens) = (open.budget.clone(), open.tokens);
+        if record.unspent > tokens {
+            return verdict(
+                Some(budget),
+                Some(grant),
+                Effect::Void(VoidReason::TooLarge),
+            );
+        }
+        self.grants.remove(&grant);
+        if let Some(balance) = self.budgets.get_mut(&budget) {
+            balance.open = balance.open.saturating_sub(Tokens(tokens));
+            balance.spent = balance
+                .spent
+                .saturating_add(Tokens(tokens - record.unspent));
+        }
+        verdict(Some(budget), Some(grant), effect(Tokens(record.unspent)))
+    }
+
+    /// Forgets identifiers unused for the dedupe window.
+    ///
+    /// A copy of a top-up is expired by then. A copy of a draw opens a grant that nobody holds,
+    /// which leaves less to spend, not more.
+    fn prune(&mut self) {
+        let oldest = self.next.saturating_sub(DEDUPE_WINDOW_OFFSETS + 1);
+        self.top_ups.retain(|_, offset| *offset >= oldest);
+        self.last_draws.retain(|_, last| last.offset >= oldest);
+    }
+}
+
+fn verdict(budget: Option<BudgetId>, grant: Option<GrantId>, effect: Effect) -> Verdict {
+    Verdict {
+        budget,
+        grant,
+        effect,
+    }
+}
+
+fn top_up_key(budget: &BudgetId, id: &str) -> u64 {
+    xxh3_64_with_seed(id.as_bytes(), xxh3_64(budget.as_str().as_bytes()))
+}
--- /dev/null
+++ b/crates/mallowpath/src/ledger_records.rs
@@ -0,0 +1,201 @@
+//! Records of the `ledger-NN` streams.
+
+use crate::{BudgetId, GrantId, Incarnation, Tokens, Version};
+
+/// An identifier made by one process, as it stands in a record.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct RecordId {
+    /// The process that made the identifier.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Its number among those that the process made.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+}
+
+/// What one append to a ledger stream carries.
+///
+/// A batch is appended again, unchanged, until its author has read it back: all records of a second
+/// copy are void.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LedgerBatch {
+    /// The incarnation of the author.
+    #[prost(fixed64, tag = "1")]
+    pub author: u64,
+    /// The number of the batch among those of its author, from 1.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// The records, judged one after the other.
+    #[prost(message, repeated, tag = "3")]
+    pub records: Vec<LedgerRecord>,
+}
+
+/// One record of a batch.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LedgerRecord {
+    /// What the record says; absent in a record of a later version of the software.
+    #[prost(oneof = "LedgerEntry", tags = "1, 2, 3, 4, 5, 6")]
+    pub entry: Option<LedgerEntry>,
+}
+
+/// What a record says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum LedgerEntry {
+    /// Sets the prepaid amount of a budget.
+    #[prost(message, tag = "1")]
+    Limit(LimitRecord),
+    /// Adds to a budget.
+    #[prost(message, tag = "2")]
+    TopUp(TopUpRecord),
+    /// Takes a grant out of a budget.
+    #[prost(message, tag = "3")]
+    Draw(DrawRecord),
+    /// Closes a grant, by its holder.
+    #[prost(message, tag = "4")]
+    Return(CloseRecord),
+    /// Closes a grant of a fenced holder with what is proven unspent.
+    #[prost(message, tag = "5")]
+    Reclaim(CloseRecord),
+    /// Carries the state forward past the retention of the log.
+    #[prost(message, tag = "6")]
+    Checkpoint(CheckpointRecord),
+}
+
+/// Sets the prepaid amount of a budget.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LimitRecord {
+    /// The name of the budget.
+    #[prost(string, tag = "1")]
+    pub budget: String,
+    /// The version of the configuration; an older or equal one is void.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The prepaid amount.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Adds to a budget.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TopUpRecord {
+    /// The name of the budget.
+    #[prost(string, tag = "1")]
+    pub budget: String,
+    /// The identifier of the top-up; the same one again for this budget is void.
+    #[prost(string, tag = "2")]
+    pub id: String,
+    /// The amount added.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// The next offset of the stream when the top-up was issued; the record expires a fixed number
+    /// of offsets later, so that readers need not remember identifiers for ever.
+    #[prost(uint64, tag = "4")]
+    pub issued_at: u64,
+}
+
+/// Takes a grant out of a budget.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DrawRecord {
+    /// The name of the budget.
+    #[prost(string, tag = "1")]
+    pub budget: String,
+    /// The grant; its sequence number is above those of all earlier draws of the incarnation.
+    #[prost(message, required, tag = "2")]
+    pub grant: RecordId,
+    /// The amount asked for.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Closes a grant.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CloseRecord {
+    /// The grant.
+    #[prost(message, required, tag = "1")]
+    pub grant: RecordId,
+    /// What was not spent of it.
+    #[prost(uint64, tag = "2")]
+    pub unspent: u64,
+}
+
+/// The state of a shard after all records below an offset.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CheckpointRecord {
+    /// The offset of the first record that the state doesn't contain.
+    #[prost(uint64, tag = "1")]
+    pub upto: u64,
+    /// The encoded state.
+    #[prost(bytes = "vec", tag = "2")]
+    pub state: Vec<u8>,
+    /// The hash of the encoded state.
+    #[prost(fixed64, tag = "3")]
+    pub state_hash: u64,
+}
+
+impl LedgerRecord {
+    /// Makes a record that sets the prepaid amount of a budget.
+    pub fn limit(budget: &BudgetId, version: Version, tokens: Tokens) -> Self {
+        let budget = budget.to_string();
+        let record = LimitRecord {
+            budget,
+            version: version.0,
+            tokens: tokens.0,
+        };
+        Self {
+            entry: Some(LedgerEntry::Limit(record)),
+        }
+    }
+
+    /// Makes a record that takes a grant out of a budget.
+    pub fn draw(budget: &BudgetId, grant: GrantId, tokens: Tokens) -> Self {
+        let budget = budget.to_string();
+        let record = DrawRecord {
+            budget,
+            grant: grant.into(),
+            tokens: tokens.0,
+        };
+        Self {
+            entry: Some(LedgerEntry::Draw(record)),
+        }
+    }
+
+    /// Makes a record by which the holder of a grant closes it.
+    pub fn close(grant: GrantId, unspent: Tokens) -> Self {
+        let record = CloseRecord {
+            grant: grant.into(),
+            unspent: unspent.0,
+        };
+        Self {
+            entry: Some(LedgerEntry::Return(record)),
+        }
+    }
+
+    /// Makes a record that closes the grant of a fenced holder.
+    pub fn reclaim(grant: GrantId, unspent: Tokens) -> Self {
+        let record = CloseRecord {
+            grant: grant.into(),
+            unspent: unspent.0,
+        };
+        Self {
+            entry: Some(LedgerEntry::Reclaim(record)),
+        }
+    }
+}
+
+impl From<GrantId> for RecordId {
+    fn from(id: GrantId) -> Self {
+        Self {
+            incarnation: id.incarnation.0,
+            sequence: id.sequence,
+        }
+    }
+}
+
+impl From<RecordId> for GrantId {
+    fn from(id: RecordId) -> Self {
+        Self {
+            incarnation: Incarnation(id.incarnation),
+            sequence: id.sequence,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/outbox.rs
@@ -0,0 +1,89 @@
+//! Records on their way into a ledger stream.
+
+use crate::{Incarnation, LedgerBatch, LedgerRecord};
+
+/// Batches the records of one author and repeats each batch until it is read back.
+///
+/// One batch is under way at a time, so that draws reach the log in the order of their numbers.
+#[derive(Debug)]
+pub(crate) struct Outbox {
+    author: Incarnation,
+    last_batch: u64,
+    queue: Vec<LedgerRecord>,
+    in_flight: Option<InFlight>,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    batch: LedgerBatch,
+    appended_ms: u64,
+    attempts: u64,
+}
+
+impl Outbox {
+    pub(crate) fn new(author: Incarnation) -> Self {
+        Self {
+            author,
+            last_batch: 0,
+            queue: Vec::new(),
+            in_flight: None,
+        }
+    }
+
+    pub(crate) fn push(&mut self, record: LedgerRecord) {
+        self.queue.push(record);
+    }
+
+    /// Returns how often the batch under way was appended, or 0.
+    pub(crate) fn attempts(&self) -> u64 {
+        self.in_flight
+            .as_ref()
+            .map_or(0, |in_flight| in_flight.attempts)
+    }
+
+    /// Ends the repeats of a batch that was read in the stream.
+    pub(crate) fn read_back(&mut self, batch: &LedgerBatch) {
+        let Some(in_flight) = &self.in_flight else {
+            return;
+        };
+        let own = batch.author == self.author.0;
+        if own && batch.sequence == in_flight.batch.sequence {
+            self.in_flight = None;
+        }
+    }
+
+    /// Returns the batch to append now, if any.
+    pub(crate) fn batch(
+        &mut self,
+        retry_ms: u64,
+        max_records: usize,
+        now_ms: u64,
+    ) -> Option<LedgerBatch> {
+        if let Some(in_flight) = &mut self.in_flight {
+            if now_ms.saturating_sub(in_flight.appended_ms) < retry_ms {
+                return None;
+            }
+            in_flight.appended_ms = now_ms;
+            in_flight.attempts += 1;
+            return Some(in_flight.batch.clone());
+        }
+        if self.queue.is_empty() {
+            return None;
+        }
+        let count = self.queue.len().min(max_records.max(1));
+        let records = self.queue.drain(..count).collect();
+        self.last_batch += 1;
+        let batch = LedgerBatch {
+            author: self.author.0,
+            sequence: self.last_batch,
+            records,
+        };
+        let in_flight = InFlight {
+            batch: batch.clone(),
+            appended_ms: now_ms,
+            attempts: 1,
+        };
+        self.in_flight = Some(in_flight);
+        Some(batch)
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/rate.rs
@@ -0,0 +1,54 @@
+//! A moving average of tokens over time.
+
+use crate::Tokens;
+
+/// The weight of the past in the average, in parts of one more than this.
+const PAST_WEIGHT: u64 = 1;
+
+/// After this many windows without a sample nothing is left of the average.
+const MAX_IDLE_WINDOWS: u64 = 64;
+
+/// Averages the tokens of consecutive windows, each weighing half of the next.
+#[derive(Debug, Clone)]
+pub(crate) struct RateMeter {
+    window_ms: u64,
+    window: u64,
+    current: u64,
+    average: u64,
+}
+
+impl RateMeter {
+    pub(crate) fn new(window_ms: u64, now_ms: u64) -> Self {
+        let window_ms = window_ms.max(1);
+        Self {
+            window_ms,
+            window: now_ms / window_ms,
+            current: 0,
+            average: 0,
+        }
+    }
+
+    pub(crate) fn add(&mut self, tokens: Tokens, now_ms: u64) {
+        self.advance(now_ms);
+        self.current = self.current.saturating_add(tokens.0);
+    }
+
+    /// Returns the tokens expected in the next window.
+    ///
+    /// The running window counts as soon as it exceeds the average, so a burst shows at once.
+    pub(crate) fn expected(&mut self, now_ms: u64) -> Tokens {
+        self.advance(now_ms);
+        Tokens(self.average.max(self.current))
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        let window = now_ms / self.window_ms;
+        let steps = window.saturating_sub(self.window).min(MAX_IDLE_WINDOWS);
+        for _ in 0..steps {
+            let past = self.average.saturating_mul(PAST_WEIGHT);
+            self.average = past.saturating_add(self.current) / (PAST_WEIGHT + 1);
+            self.current = 0;
+        }
+        self.window = self.window.max(window);
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/wallet.rs
@@ -0,0 +1,395 @@
+//! Decisions of a router about the slices that it spends from.
+//!
+//! A request reserves its largest possible cost before it runs and frees the rest when it is done.
+//! The wallet asks for more ahead of need and returns what it doesn't use.
+
+use crate::{
+    BudgetId, GrantId, Incarnation, SliceId, Tokens,
+    slice::{SliceAnswer, SliceReply, SliceRequest, SliceReturn},
+    wallet_account::{PendingRequest, Refusal, SliceState, WalletAccount, Wish, account_mut},
+};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How a wallet refills and returns.
+#[derive(Debug, Clone)]
+pub struct WalletSettings {
+    /// How far ahead of its rate the wallet asks for tokens.
+    pub horizon_ms: u64,
+    /// Slices of a budget unused for this long are returned.
+    pub idle_ms: u64,
+    /// A message without an answer is sent again after this long.
+    pub retry_ms: u64,
+}
+
+/// The slices of one router incarnation.
+#[derive(Debug)]
+pub struct Wallet {
+    router: Incarnation,
+    settings: WalletSettings,
+    accounts: BTreeMap<BudgetId, WalletAccount>,
+    pending: BTreeMap<u64, PendingRequest>,
+    fenced_keepers: BTreeSet<Incarnation>,
+    last_request: u64,
+    revoked: bool,
+}
+
+/// Tokens set aside for one request; settled exactly once, so it can't be cloned.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reservation {
+    /// The budget.
+    pub budget: BudgetId,
+    /// The slices that the tokens are part of.
+    pub parts: Vec<SlicePart>,
+}
+
+/// Tokens out of one slice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SlicePart {
+    /// The slice.
+    pub slice: SliceId,
+    /// The grant that the slice is part of.
+    pub grant: GrantId,
+    /// How many tokens.
+    pub tokens: Tokens,
+}
+
+/// The answer to a wish to reserve.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ReserveOutcome {
+    /// The tokens are set aside.
+    Reserved(Reservation),
+    /// Not enough at present; a refill is under way or due after the wait.
+    Short {
+        /// How long to wait before the next try.
+        retry_after_ms: u64,
+    },
+    /// The budget can't cover the wish.
+    Exhausted,
+    /// The ledger knows no such budget.
+    UnknownBudget,
+    /// This incarnation was fenced and spends nothing more.
+    Revoked,
+}
+
+/// A request on its way to a keeper.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OutgoingRequest {
+    /// The incarnation of the keeper.
+    pub keeper: Incarnation,
+    /// The request.
+    pub request: SliceRequest,
+}
+
+/// What a router holds of a budget, for dumps.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Outstanding {
+    /// Tokens that can be reserved.
+    pub free: Tokens,
+    /// Tokens set aside for running requests.
+    pub reserved: Tokens,
+    /// Tokens on their way back to a keeper or held for the reclaim of a fenced one.
+    pub closing: Tokens,
+}
+
+/// What a router spent of the grants of a fenced keeper.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeeperReport {
+    /// The router that reports.
+    pub router: Incarnation,
+    /// The fenced keeper, whose slices the router no longer takes.
+    pub keeper: Incarnation,
+    /// Whether no request of the router still runs on slices of the keeper.
+    pub settled: bool,
+    /// What was spent of each grant that isn't known to be closed.
+    pub grants: Vec<GrantSpent>,
+}
+
+/// What was spent of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GrantSpent {
+    /// The grant.
+    pub grant: GrantId,
+    /// The tokens spent.
+    pub spent: Tokens,
+}
+
+impl Wallet {
+    /// Makes an empty wallet.
+    pub fn new(router: Incarnation, settings: WalletSettings) -> Self {
+        Self {
+            router,
+            settings,
+            accounts: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            fenced_keepers: BTreeSet::new(),
+            last_request: 0,
+            revoked: false,
+        }
+    }
+
+    /// Sets tokens aside, out of one or several slices, or notes what is missing.
+    pub fn reserve(&mut self, budget: &BudgetId, tokens: Tokens, now_ms: u64) -> ReserveOutcome {
+        if self.revoked {
+            return ReserveOutcome::Revoked;
+        }
+        let settings = &self.settings;
+        let account = account_mut(&mut self.accounts, settings, budget, now_ms);
+        account.used_ms = now_ms;
+        let free = account.outstanding().free;
+        if free < tokens {
+            return account.fall_short(tokens, free, settings, now_ms);
+        }
+        account.rate.add(tokens, now_ms);
+        let parts = account.take(tokens);
+        let expected = account.rate.expected(now_ms);
+        if free.saturating_sub(tokens).0 < expected.0 / 2 && account.wish.is_none() {
+            account.wish = Some(Wish {
+                needed: Tokens(1),
+                expected,
+                reservation: Tokens(1),
+            });
+        }
+        ReserveOutcome::Reserved(Reservation {
+            budget: budget.clone(),
+            parts,
+        })
+    }
+
+    /// Frees what a request didn't spend and returns what it spent of each slice.
+    ///
+    /// A request never spends more than it reserved; the rest of a larger amount is dropped.
+    pub fn settle(&mut self, reservation: Reservation, spent: Tokens) -> Vec<SlicePart> {
+        let Reservation { budget, parts } = reservation;
+        let mut rest = spent;
+        let mut spent_parts = Vec::new();
+        let Some(account) = self.accounts.get_mut(&budget) else {
+            return spent_parts;
+        };
+        for part in parts {
+            let used = part.tokens.min(rest);
+            rest = rest.saturating_sub(used);
+            if let Some(held) = account.slices.get_mut(&part.slice) {
+                held.reserved = held.reserved.saturating_sub(part.tokens);
+                held.free = held.free.saturating_add(part.tokens.saturating_sub(used));
+            }
+            if used > Tokens::ZERO {
+                let sum = account.spent.entry(part.grant).or_default();
+                *sum = sum.saturating_add(used);
+                spent_parts.push(SlicePart {
+                    tokens: used,
+                    ..part
+                });
+            }
+        }
+        spent_parts
+    }
+
+    /// Returns the requests to send now, given the keeper of each budget's shard.
+    ///
+    /// A request without an answer goes to the same keeper under the same number, so that slices
+    /// whose answer was lost aren't stranded there.
+    pub fn requests(
+        &mut self,
+        keeper_of: impl Fn(&BudgetId) -> Option<Incarnation>,
+        now_ms: u64,
+    ) -> Vec<OutgoingRequest> {
+        let mut outgoing = Vec::new();
+        for pending in self.pending.values_mut() {
+            if now_ms.saturating_sub(pending.sent_ms) >= self.settings.retry_ms {
+                pending.sent_ms = now_ms;
+                outgoing.push(pending.to_outgoing());
+            }
+        }
+        if self.revoked {
+            return outgoing;
+        }
+        for (budget, account) in &mut self.accounts {
+            let Some(keeper) = keeper_of(budget) else {
+                continue;
+            };
+            let waits = account
+                .refusal
+                .is_some_and(|refusal| now_ms < refusal.until_ms);
+            let asked = |pending: &PendingRequest| {
+                pending.keeper == keeper && pending.request.budget == *budget
+            };
+            if waits || self.fenced_keepers.contains(&keeper) || self.pending.values().any(asked) {
+                continue;
+            }
+            let Some(wish) = account.wish.take() else {
+                continue;
+            };
+            self.last_request += 1;
+            let request = SliceRequest {
+                router: self.router,
+                number: self.last_request,
+                budget: budget.clone(),
+                needed: wish.needed,
+                expected: wish.expected,
+                reservation: wish.reservation,
+            };
+            let pending = PendingRequest {
+                keeper,
+                request,
+                sent_ms: now_ms,
+            };
+            outgoing.push(pending.to_outgoing());
+            self.pending.insert(self.last_request, pending);
+        }
+        outgoing
+    }
+
+    /// Takes a keeper's answer; returns whether new slices can be spent.
+    ///
+    /// Only the first answer to a request counts.
+    pub fn reply(&mut self, keeper: Incarnation, reply: &SliceReply, now_ms: u64) -> bool {
+        let Some(pending) = self.pending.get(&reply.number) else {
+            return false;
+        };
+        if pending.keeper != keeper {
+            return false;
+        }
+        let Some(pending) = self.pending.remove(&reply.number) else {
+            return false;
+        };
+        let request = pending.request;
+        let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
+        account.forget_closed(keeper, reply.oldest_open_grant);
+        let wait_ms = match &reply.answer {
+            SliceAnswer::Granted(slices) => {
+                account.refusal = None;
+                account.wish = None;
+                account.add(slices);
+                return true;
+            }
+            SliceAnswer::Short { retry_after_ms } => *retry_after_ms,
+            _ => self.settings.retry_ms,
+        };
+        account.refusal = Some(Refusal {
+            unknown_budget: reply.answer == SliceAnswer::UnknownBudget,
+            unspent: reply.unspent,
+            until_ms: now_ms.saturating_add(wait_ms),
+        });
+        false
+    }
+
+    /// Returns the slices to send back now: used up, idle, or not yet acknowledged.
+    pub fn returns(&mut self, now_ms: u64) -> Vec<SliceReturn> {
+        let mut returns = Vec::new();
+        for (budget, account) in &mut self.accounts {
+            let idle = now_ms.saturating_sub(account.used_ms) >= self.settings.idle_ms;
+            for held in account.slices.values_mut() {
+                let due = match held.state {
+                    SliceState::Frozen => false,
+                    SliceState::Spendable => idle || held.free == Tokens::ZERO,
+                    SliceState::Returning { sent_ms } => {
+                        now_ms.saturating_sub(sent_ms) >= self.settings.retry_ms
+                    }
+                };
+                if !due || held.reserved > Tokens::ZERO {
+                    continue;
+                }
+                held.state = SliceState::Returning { sent_ms: now_ms };
+                let slice = held.slice;
+                returns.push(SliceReturn {
+                    budget: budget.clone(),
+                    slice,
+                    unspent: held.free,
+                });
+            }
+        }
+        returns
+    }
+
+    /// Forgets a slice whose return the keeper has acknowledged.
+    pub fn returned(&mut self, budget: &BudgetId, slice: SliceId) {
+        let Some(account) = self.accounts.get_mut(budget) else {
+            return;
+        };
+        let Some(held) = account.slices.get(&slice) else {
+            return;
+        };
+        if matches!(held.state, SliceState::Returning { .. }) {
+            account.slices.remove(&slice);
+        }
+    }
+
+    /// Stops spending for good, once this incarnation is known to be fenced.
+    pub fn revoke(&mut self) {
+        self.revoked = true;
+    }
+
+    /// Takes no more slices from a fenced keeper and spends no more of those it gave.
+    pub fn fence_keeper(&mut self, keeper: Incarnation) {
+        self.fenced_keepers.insert(keeper);
+        self.pending.retain(|_, pending| pending.keeper != keeper);
+        for account in self.accounts.values_mut() {
+            for (id, held) in &mut account.slices {
+                if id.incarnation == keeper {
+                    held.state = SliceState::Frozen;
+                }
+            }
+        }
+    }
+
+    /// Reports what was spent of a fenced keeper's grants.
+    ///
+    /// Returns nothing for a keeper that wasn't fenced by [`Wallet::fence_keeper`].
+    pub fn report_keeper(&self, keeper: Incarnation) -> Option<KeeperReport> {
+        if !self.fenced_keepers.contains(&keeper) {
+            return None;
+        }
+        let mut report = KeeperReport {
+            router: self.router,
+            keeper,
+            settled: true,
+            grants: Vec::new(),
+        };
+        for account in self.accounts.values() {
+            for (grant, spent) in &account.spent {
+                if grant.incarnation == keeper {
+                    report.grants.push(GrantSpent {
+                        grant: *grant,
+                        spent: *spent,
+                    });
+                }
+            }
+            for (id, held) in &account.slices {
+                let running = held.reserved > Tokens::ZERO;
+                if id.incarnation == keeper && running {
+                    report.settled = false;
+                }
+            }
+        }
+        Some(report)
+    }
+
+    /// Forgets a fenced keeper whose grants are all closed.
+    pub fn forget_keeper(&mut self, keeper: Incarnation) {
+        for account in self.accounts.values_mut() {
+            account
+                .slices
+                .retain(|id, held| id.incarnation != keeper || held.reserved > Tokens::ZERO);
+            account.forget_closed(keeper, u64::MAX);
+        }
+    }
+
+    /// Returns what the wallet holds of each budget.
+    pub fn outstanding(&self) -> BTreeMap<BudgetId, Outstanding> {
+        let mut sums = BTreeMap::new();
+        for (budget, account) in &self.accounts {
+            sums.insert(budget.clone(), account.outstanding());
+        }
+        sums
+    }
+}
+
+impl Default for WalletSettings {
+    fn default() -> Self {
+        Self {
+            horizon_ms: 2_000,
+            idle_ms: 2_000,
+            retry_ms: 200,
+        }
+    }
+}
