--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -25,6 +25,18 @@
 mod run_marks;
 mod section;
 mod settings;
+mod checkpoint;
+mod id;
+mod keeper;
+mod keeper_account;
+mod ledger;
+mod ledger_records;
+mod outbox;
+mod rate;
+mod slice;
+mod verdict;
+mod wallet;
+mod wallet_account;
 
 pub use backoff::Backoff;
 pub use change::{
@@ -66,4 +78,15 @@
 pub use section::{Section, SectionName, Sections, sections_of};
 pub use settings::{
     HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+pub use keeper::{Keeper, KeeperSettings};
+pub use ledger::{DEDUPE_WINDOW_OFFSETS, Ledger, MAX_BUDGET_TOKENS, shard_of};
+pub use ledger_records::{
+    CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
+    RecordId, TopUpRecord,
+};
+pub use slice::{Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn};
+pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
+pub use wallet::{
+    GrantSpent, KeeperReport, OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart,
+    Wallet, WalletSettings,
 };
