--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -51,6 +51,18 @@
 };
 pub use fleet_read::parse_tokens;
 pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
+mod backend;
+mod baseline;
+mod candidates;
+mod estimate;
+mod id;
+mod prefix;
+mod rendezvous;
+mod route;
+
+pub use backend::{Backend, BackendState, LoadReport};
+pub use baseline::{least_outstanding, round_robin};
+pub use estimate::Estimate;
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
@@ -90,3 +102,9 @@
     GrantSpent, KeeperReport, OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart,
     Wallet, WalletSettings,
 };
+pub use prefix::{
+    CacheEvent, CacheEventKind, PREFIX_BLOCK_BYTES, PREFIX_BLOCK_TOKENS, PrefixSketch,
+    prefix_hashes,
+};
+pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
+pub use route::{Choice, NoBackend, Reason, RouteRequest, RouteSettings, RouteTable};
