Add bills, their audit, and reclaim by proof

Cause: a request has to be billed once whichever of its processes dies, and what a fenced process left unspent may come back only when those who could have spent it say so.

Weighed and ruled out: - The audit remembering every request for ever: batches carry the author's watermark, so only what is above it is kept (1,000 bills, at most 10 remembered in the test). - Sidecars told which grants are open: a late message would drop the sums of newer grants and spent tokens would seem unspent. They are told which grants are closed. - Reclaim in parts of a grant: a missing report blocks the unsliced rest as well, so parts gain little.

Found on the way: a bill adopted from a router that lived after all was logged by the adopter and dropped by its sidecar; the first router never heard of it and its watermark stood still for ever. The sidecar now remembers what was logged elsewhere until the watermark passes (regression_adopted_bill).

Each rule was broken in turn and a test seen to fail: audit counts copies or ignores the watermark; any append ends the batch; charge not capped; watermark inclusive, skipping running requests, or too high in a batch; conflict overwrites; logged elsewhere forgotten; final counts as safe; retry with a new batch; abandon drops a final bill; proof without all words; confirmation or report copy adds; unsettled report counts; forgetting drops open grants; seal not kept; billed sums ignored or cleared by the watermark; fenced router's bills ignored; open grant called closed; reclaim counts twice; returned slices missing from the report. The abandon and cleared-sums cases first passed unseen; the tests were made stricter.

--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,5 +1,9 @@
 //! Router fleet for prepaid token budgets.
 
+mod audit;
+mod bill;
+mod bill_book;
+mod bill_shelf;
 mod checkpoint;
 mod id;
 mod keeper;
@@ -8,11 +12,16 @@
 mod ledger_records;
 mod outbox;
 mod rate;
+mod reclaim;
 mod slice;
 mod verdict;
 mod wallet;
 mod wallet_account;
 
+pub use audit::{Audit, BillConflict, BillTotal};
+pub use bill::{Bill, BillBatch, BillOutcome, BillRecord, PartRecord, charge, sum_parts};
+pub use bill_book::{BillBook, BillCounts, BillSettings, BillState, BillWatermark, Recorded};
+pub use bill_shelf::{BillShelf, SidecarConfirmation};
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
@@ -23,9 +32,11 @@
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
     RecordId, TopUpRecord,
 };
-pub use slice::{Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn};
+pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
+pub use slice::{
+    GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
+};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
 pub use wallet::{
-    GrantSpent, KeeperReport, OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart,
-    Wallet, WalletSettings,
+    OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings,
 };
--- a/crates/mallowpath/src/slice.rs
+++ b/crates/mallowpath/src/slice.rs
@@ -71,3 +71,25 @@
     /// What was not spent of it.
     pub unspent: Tokens,
 }
+
+/// What a router spent of the grants of a fenced keeper.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeeperReport {
+    /// The router that reports.
+    pub router: Incarnation,
+    /// The fenced keeper, whose slices the router no longer takes.
+    pub keeper: Incarnation,
+    /// Whether no request of the router still runs on slices of the keeper.
+    pub settled: bool,
+    /// What was spent of each grant that isn't known to be closed.
+    pub grants: Vec<GrantSpent>,
+}
+
+/// What was spent of a grant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GrantSpent {
+    /// The grant.
+    pub grant: GrantId,
+    /// The tokens spent.
+    pub spent: Tokens,
+}
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -5,10 +5,14 @@
 
 use crate::{
     BudgetId, GrantId, Incarnation, SliceId, Tokens,
-    slice::{SliceAnswer, SliceReply, SliceRequest, SliceReturn},
+    bill::charge,
+    slice::{GrantSpent, KeeperReport, SliceAnswer, SliceReply, SliceRequest, SliceReturn},
     wallet_account::{PendingRequest, Refusal, SliceState, WalletAccount, Wish, account_mut},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+};
 
 /// How a wallet refills and returns.
 #[derive(Debug, Clone)]
@@ -29,6 +33,7 @@
     accounts: BTreeMap<BudgetId, WalletAccount>,
     pending: BTreeMap<u64, PendingRequest>,
     fenced_keepers: BTreeSet<Incarnation>,
+    closed_grants: BTreeSet<GrantId>,
     last_request: u64,
     revoked: bool,
 }
@@ -91,28 +96,6 @@
     pub closing: Tokens,
 }
 
-/// What a router spent of the grants of a fenced keeper.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KeeperReport {
-    /// The router that reports.
-    pub router: Incarnation,
-    /// The fenced keeper, whose slices the router no longer takes.
-    pub keeper: Incarnation,
-    /// Whether no request of the router still runs on slices of the keeper.
-    pub settled: bool,
-    /// What was spent of each grant that isn't known to be closed.
-    pub grants: Vec<GrantSpent>,
-}
-
-/// What was spent of a grant.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GrantSpent {
-    /// The grant.
-    pub grant: GrantId,
-    /// The tokens spent.
-    pub spent: Tokens,
-}
-
 impl Wallet {
     /// Makes an empty wallet.
     pub fn new(router: Incarnation, settings: WalletSettings) -> Self {
@@ -122,6 +105,7 @@
             accounts: BTreeMap::new(),
             pending: BTreeMap::new(),
             fenced_keepers: BTreeSet::new(),
+            closed_grants: BTreeSet::new(),
             last_request: 0,
             revoked: false,
         }
@@ -160,28 +144,25 @@
     /// A request never spends more than it reserved; the rest of a larger amount is dropped.
     pub fn settle(&mut self, reservation: Reservation, spent: Tokens) -> Vec<SlicePart> {
         let Reservation { budget, parts } = reservation;
-        let mut rest = spent;
-        let mut spent_parts = Vec::new();
         let Some(account) = self.accounts.get_mut(&budget) else {
-            return spent_parts;
+            return Vec::new();
         };
+        let charged = charge(&parts, spent);
         for part in parts {
-            let used = part.tokens.min(rest);
-            rest = rest.saturating_sub(used);
+            let Some(held) = account.slices.get_mut(&part.slice) else {
+                continue;
+            };
+            held.reserved = held.reserved.saturating_sub(part.tokens);
+            held.free = held.free.saturating_add(part.tokens);
+        }
+        for part in &charged {
             if let Some(held) = account.slices.get_mut(&part.slice) {
-                held.reserved = held.reserved.saturating_sub(part.tokens);
-                held.free = held.free.saturating_add(part.tokens.saturating_sub(used));
-            }
-            if used > Tokens::ZERO {
-                let sum = account.spent.entry(part.grant).or_default();
-                *sum = sum.saturating_add(used);
-                spent_parts.push(SlicePart {
-                    tokens: used,
-                    ..part
-                });
+                held.free = held.free.saturating_sub(part.tokens);
             }
+            let sum = account.spent.entry(part.grant).or_default();
+            *sum = sum.saturating_add(part.tokens);
         }
-        spent_parts
+        charged
     }
 
     /// Returns the requests to send now, given the keeper of each budget's shard.
@@ -254,7 +235,7 @@
         };
         let request = pending.request;
         let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
-        account.forget_closed(keeper, reply.oldest_open_grant);
+        account.forget_closed(keeper, reply.oldest_open_grant, &mut self.closed_grants);
         let wait_ms = match &reply.answer {
             SliceAnswer::Granted(slices) => {
                 account.refusal = None;
@@ -370,10 +351,15 @@
             account
                 .slices
                 .retain(|id, held| id.incarnation != keeper || held.reserved > Tokens::ZERO);
-            account.forget_closed(keeper, u64::MAX);
+            account.forget_closed(keeper, u64::MAX, &mut self.closed_grants);
         }
     }
 
+    /// Takes the grants known to be closed since the last call, for sidecars to forget.
+    pub fn take_closed_grants(&mut self) -> BTreeSet<GrantId> {
+        mem::take(&mut self.closed_grants)
+    }
+
     /// Returns what the wallet holds of each budget.
     pub fn outstanding(&self) -> BTreeMap<BudgetId, Outstanding> {
         let mut sums = BTreeMap::new();
--- a/crates/mallowpath/src/wallet_account.rs
+++ b/crates/mallowpath/src/wallet_account.rs
@@ -6,7 +6,7 @@
     rate::RateMeter,
     slice::{Slice, SliceRequest},
 };
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Debug)]
 pub(crate) struct WalletAccount {
@@ -164,9 +164,20 @@
         }
     }
 
-    pub(crate) fn forget_closed(&mut self, keeper: Incarnation, oldest_open: u64) {
-        self.spent
-            .retain(|grant, _| grant.incarnation != keeper || grant.sequence >= oldest_open);
+    /// Forgets what was spent of closed grants and adds them to `closed`.
+    pub(crate) fn forget_closed(
+        &mut self,
+        keeper: Incarnation,
+        oldest_open: u64,
+        closed: &mut BTreeSet<GrantId>,
+    ) {
+        self.spent.retain(|grant, _| {
+            let open = grant.incarnation != keeper || grant.sequence >= oldest_open;
+            if !open {
+                closed.insert(*grant);
+            }
+            open
+        });
     }
 }
 
