Check a configuration change at the cost of the change

Cause: replay checked the whole configuration for every change.

Ruled out: leaving out references, as a removal may break sections that did not change.

Change: Fleet::updated reads the changed sections only. References of all sections are checked again when a section was removed; owners of budgets and the look-up by key are checked whole, by workspaces. Checks between sections move to fleet_check.

Seen to fail first: a property test compares each verdict and fleet with those of the whole configuration.

--- a/crates/mallowpath/src/fleet_read.rs
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -5,23 +5,19 @@
         Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
         WhenUnconfirmed, Workspace,
     },
+    fleet_check::{check_names, check_owners, index_keys},
     id::{ServiceId, Tokens},
     ini::IniDocument,
     issue::{Issue, IssueReport, nearest},
     section::{Reader, Section, SectionName, Sections, sections_of},
 };
-use std::{collections::BTreeSet, str::FromStr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    str::FromStr,
+    sync::Arc,
+};
 
 const KINDS: [&str; 5] = ["backend", "budget", "fleet", "service", "workspace"];
-/// Keys that hold names: kind of section, key, kind of the section named.
-const REFERENCES: [(&str, &str, &str); 4] = [
-    ("workspace", "budget", "budget"),
-    ("workspace", "services", "service"),
-    ("budget", "workspace", "workspace"),
-    ("backend", "service", "service"),
-];
-/// Issues after which names that refer to nothing get no hint, as each compares all names.
-const MAX_HINTS: usize = 64;
 const NAME: &str = "a name of letters, digits and - _ . / :";
 const HASHES: &str = "SHA-256 hashes of 64 hexadecimal digits, separated by commas";
 const YES_OR_NO: [(&str, bool); 2] = [("yes", true), ("no", false)];
@@ -76,6 +72,44 @@
             Err(IssueReport::new(issues))
         }
     }
+
+    /// Checks a configuration that differs from this one in the `changed` sections.
+    ///
+    /// The result is that of [`Fleet::from_sections`], at a cost that is mostly that of the change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the issues of the changed sections, and of those that a change breaks.
+    pub(crate) fn updated(
+        &self,
+        sections: &Sections,
+        changed: &[&SectionName],
+    ) -> Result<Self, IssueReport> {
+        let mut issues = Vec::new();
+        let mut fleet = self.clone();
+        let mut has_removed = false;
+        for name in changed {
+            forget_section(&mut fleet, name);
+            let Some(section) = sections.get(*name) else {
+                has_removed = true;
+                continue;
+            };
+            read_section(&mut fleet, name, section, &mut issues);
+            check_names(sections, name, section, &mut issues);
+        }
+        if has_removed {
+            for (name, section) in sections {
+                check_names(sections, name, section, &mut issues);
+            }
+        }
+        index_keys(&mut fleet, &mut issues);
+        check_owners(sections, &mut issues);
+        if issues.is_empty() {
+            Ok(fleet)
+        } else {
+            Err(IssueReport::new(issues))
+        }
+    }
 }
 
 /// Parses a number of tokens, such as `1_000_000`, `5k` or `2M`.
@@ -89,11 +123,31 @@
         read_section(&mut fleet, name, section, issues);
     }
     index_keys(&mut fleet, issues);
-    check_names(sections, issues);
+    for (name, section) in sections {
+        check_names(sections, name, section, issues);
+    }
     check_owners(sections, issues);
     fleet
 }
 
+fn forget_section(fleet: &mut Fleet, name: &SectionName) {
+    match &*name.kind {
+        "fleet" if name.name.is_empty() => fleet.rules = FleetRules::default(),
+        "workspace" => forget(&mut fleet.workspaces, &name.name),
+        "budget" => forget(&mut fleet.budgets, &name.name),
+        "service" => forget(&mut fleet.services, &name.name),
+        "backend" => forget(&mut fleet.backends, &name.name),
+        _ => {}
+    }
+}
+
+fn forget<K: FromStr + Ord, V>(table: &mut BTreeMap<K, V>, name: &str) {
+    let Ok(id) = name.parse() else {
+        return;
+    };
+    table.remove(&id);
+}
+
 fn read_section(fleet: &mut Fleet, name: &SectionName, section: &Section, issues: &mut Vec<Issue>) {
     if !KINDS.contains(&&*section.kind) {
         let mut issue = Issue::new(
@@ -285,127 +339,6 @@
     id
 }
 
-fn index_keys(fleet: &mut Fleet, issues: &mut Vec<Issue>) {
-    for workspace in fleet.workspaces.values() {
-        for key in &workspace.keys {
-            let Some(other) = fleet.by_key.insert(*key, Arc::clone(workspace)) else {
-                continue;
-            };
-            let expected = format!("a key of one workspace only; {} has it too", other.id);
-            let header = format!("workspace {}", workspace.id);
-            issues.push(Issue::new(
-                &header,
-                "key_sha256",
-                Some(&key.to_string()),
-                &expected,
-            ));
-        }
-    }
-}
-
-/// Checks that every name refers to a section, also in sections that have other issues.
-fn check_names(sections: &Sections, issues: &mut Vec<Issue>) {
-    for (name, section) in sections {
-        for (kind, key, wanted_kind) in REFERENCES {
-            if &*name.kind != kind {
-                continue;
-            }
-            let Some(value) = section.entries.get(key) else {
-                continue;
-            };
-            for part in value.split(',') {
-                check_name(sections, name, key, (wanted_kind, part.trim()), issues);
-            }
-        }
-    }
-}
-
-fn check_name(
-    sections: &Sections,
-    header: &SectionName,
-    key: &str,
-    (kind, name): (&str, &str),
-    issues: &mut Vec<Issue>,
-) {
-    let wanted = SectionName {
-        kind: Arc::from(kind),
-        name: Arc::from(name),
-    };
-    if name == "*" || sections.contains_key(&wanted) {
-        return;
-    }
-    let with_hint = issues.len() < MAX_HINTS;
-    issues.push(missing(
-        sections,
-        &header.to_string(),
-        key,
-        &wanted,
-        with_hint,
-    ));
-}
-
-fn check_owners(sections: &Sections, issues: &mut Vec<Issue>) {
-    for (name, section) in sections {
-        if &*name.kind != "workspace" {
-            continue;
-        }
-        let Some(budget) = section.entries.get("budget") else {
-            continue;
-        };
-        let wanted = SectionName {
-            kind: Arc::from("budget"),
-            name: Arc::clone(budget),
-        };
-        let Some(owner) = sections
-            .get(&wanted)
-            .and_then(|found| found.entries.get("workspace"))
-        else {
-            continue;
-        };
-        if *owner == name.name {
-            continue;
-        }
-        let expected = format!("a budget of this workspace; it is one of {owner}");
-        issues.push(Issue::new(
-            &name.to_string(),
-            "budget",
-            Some(budget),
-            &expected,
-        ));
-    }
-}
-
-#[cold]
-fn missing(
-    sections: &Sections,
-    header: &str,
-    key: &str,
-    wanted: &SectionName,
-    with_hint: bool,
-) -> Issue {
-    let expected = format!("the name of a [{} ...] section", wanted.kind);
-    let mut issue = Issue::new(header, key, Some(&wanted.name), &expected);
-    if with_hint {
-        issue.hint = nearest_section(sections, wanted);
-    }
-    issue
-}
-
-fn nearest_section(sections: &Sections, wanted: &SectionName) -> Option<Arc<str>> {
-    let first = SectionName {
-        kind: Arc::clone(&wanted.kind),
-        name: Arc::from(""),
-    };
-    let mut names = Vec::new();
-    for name in sections.range(first..).map(|(name, _)| name) {
-        if name.kind != wanted.kind {
-            break;
-        }
-        names.push(&*name.name);
-    }
-    nearest(&wanted.name, &names)
-}
-
 fn narrow(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod change;
 mod fleet;
+mod fleet_check;
 mod fleet_read;
 mod id;
 mod ini;
--- a/crates/mallowpath/src/replay.rs
+++ b/crates/mallowpath/src/replay.rs
@@ -208,7 +208,8 @@
             return self.void(VoidReason::OtherBase(base));
         }
         let undo = self.replace_sections(change);
-        match Fleet::from_sections(&self.sections) {
+        let changed: Vec<&SectionName> = undo.iter().map(|(name, _)| name).collect();
+        match self.fleet.updated(&self.sections, &changed) {
             Ok(fleet) => {
                 self.fleet = Arc::new(fleet);
                 self.version = Version(self.next.0 + 1);
--- a/crates/mallowpath/tests/change.rs
+++ b/crates/mallowpath/tests/change.rs
@@ -1,8 +1,8 @@
 //! Replay of the configuration stream under racing publishers, repeated appends and checkpoints.
 
 use mallowpath::{
-    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, Delta, IniDocument,
-    Offset, ReplayError, Sections, Verdict, Version, VoidReason, diff, sections_of,
+    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, Delta, Fleet,
+    IniDocument, Offset, ReplayError, Sections, Verdict, Version, VoidReason, diff, sections_of,
 };
 use proptest::{
     collection::vec,
@@ -10,7 +10,7 @@
     test_runner::RngSeed,
 };
 use prost::Message;
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 const INVALID: u8 = 9;
 
@@ -75,6 +75,87 @@
     change.set.iter().all(|section| section.kind != "fleet")
 }
 
+const HEADERS: [&str; 9] = [
+    "fleet",
+    "fleet x",
+    "workspace a",
+    "workspace b",
+    "budget a",
+    "budget b",
+    "service a",
+    "backend a",
+    "other a",
+];
+
+/// Returns a section that may refer to others, or `None` to remove it.
+fn draw_section(header: &str, draw: u8) -> Option<String> {
+    let name = ["a", "b"][usize::from(draw % 2)];
+    let entries = match (draw / 2, header.split(' ').next()) {
+        (0, _) => return None,
+        (_, Some("fleet")) => format!("leave_within_ms = {draw}"),
+        (1, Some("workspace")) => format!("budget = {name}\nhome_region = r\nservices = a"),
+        (_, Some("workspace")) => {
+            format!("budget = {name}\nhome_region = r\nkey_sha256 = {:064}", 1)
+        }
+        (_, Some("budget")) => format!("workspace = {name}\ntokens = {draw}"),
+        (_, Some("backend")) => "service = a".to_owned(),
+        _ => String::new(),
+    };
+    Some(format!("[{header}]\n{entries}\n"))
+}
+
+fn draw_change(id: u64, base: Version, draws: &[(usize, u8)]) -> ConfigRecord {
+    let mut set = String::new();
+    let mut removed = String::new();
+    for (header, draw) in draws {
+        match draw_section(HEADERS[*header], *draw) {
+            Some(text) => set += &text,
+            None => removed += &["[", HEADERS[*header], "]\n"].concat(),
+        }
+    }
+    let delta = Delta {
+        set: sections(&set).into_values().collect(),
+        removed: sections(&removed).into_keys().collect(),
+    };
+    Change::new(ChangeId(id), base, "ann", 0, &delta).into()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_024, ..config() })]
+
+    #[test]
+    fn a_change_is_judged_like_the_whole_configuration(
+        changes in vec(vec((0..HEADERS.len(), 0..6_u8), 1..6), 1..30),
+    ) {
+        let mut state = ConfigState::default();
+        for draws in changes {
+            let offset = state.next();
+            let record = draw_change(offset.0, state.version(), &draws);
+            let mut wanted = state.sections().clone();
+            let Some(ConfigEntry::Change(change)) = &record.entry else {
+                continue;
+            };
+            for name in &change.removed {
+                wanted.remove(&name.into());
+            }
+            for section in change.set.iter().map(mallowpath::Section::from) {
+                wanted.insert(section.section_name(), section);
+            }
+            let before = Arc::clone(state.fleet());
+            let verdict = state.apply(offset, &record).expect("record in turn");
+            if let Ok(fleet) = Fleet::from_sections(&wanted) {
+                prop_assert!(matches!(verdict, Verdict::Accepted(_)));
+                prop_assert_eq!(&**state.fleet(), &fleet);
+            } else {
+                let is_invalid =
+                    matches!(verdict, Verdict::Void { reason: VoidReason::Invalid(_), .. });
+                prop_assert!(is_invalid);
+                prop_assert_eq!(state.fleet(), &before);
+            }
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
