Load a configuration checkpoint without a second copy

Cause: loading kept the parts while it built the state, and hashed the state by encoding it whole.

Change: the parts are consumed, and the state hash streams over sections.

With the hash not compared the loading test fails, as before.

--- a/crates/mallowpath/src/replay.rs
+++ b/crates/mallowpath/src/replay.rs
@@ -19,9 +19,10 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     fmt::{self, Display},
+    mem,
     sync::Arc,
 };
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 /// How many judged changes are kept to know their repetitions.
 const MAX_RECENT_CHANGES: usize = 1_024;
@@ -148,9 +149,12 @@
 
     /// Hashes all that decides how later records are judged.
     pub fn state_hash(&self) -> u64 {
-        let mut whole = self.head();
-        whole.sections = self.sections.values().map(SectionRecord::from).collect();
-        xxh3_64(&whole.encode_to_vec())
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.head().encode_to_vec());
+        for section in self.sections.values() {
+            hasher.update(&SectionRecord::from(section).encode_length_delimited_to_vec());
+        }
+        hasher.digest()
     }
 
     /// Returns the state as checkpoint parts to append; they depend on the prefix only.
@@ -297,6 +301,7 @@
         if parts.len() != usize::try_from(part.parts).ok()? {
             return None;
         }
+        let parts = self.parts.remove(&key)?;
         assemble(parts)
     }
 
@@ -314,12 +319,14 @@
 }
 
 /// Builds the state of a complete set of parts, unless its hash shows that it is damaged.
-fn assemble(parts: &BTreeMap<u32, ConfigCheckpoint>) -> Option<ConfigState> {
-    let head = parts.get(&0)?;
+fn assemble(mut parts: BTreeMap<u32, ConfigCheckpoint>) -> Option<ConfigState> {
+    let mut head = parts.remove(&0)?;
+    let mut records = vec![mem::take(&mut head.sections)];
+    records.extend(parts.into_values().map(|part| part.sections));
     let mut sections = Sections::new();
-    for part in parts.values() {
-        for record in &part.sections {
-            let section = Section::from(record);
+    for part in records {
+        for record in part {
+            let section = Section::from(&record);
             sections.insert(section.section_name(), section);
         }
     }
