Share repeated kinds and keys of configuration sections

Cause: the state of 61,000 budgets fills a daemon's 64 MB.

Ruled out for now: a denser form than a BTreeMap for the entries of a section, which would change the public type.

Change: the sections of one record share their kinds and keys.

--- a/crates/mallowpath/src/change.rs
+++ b/crates/mallowpath/src/change.rs
@@ -10,7 +10,7 @@
 };
 use prost::Message;
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fmt::{self, Display},
     str::FromStr,
     sync::Arc,
@@ -175,6 +175,36 @@
     }
 }
 
+/// Texts shared by the sections of one record, which repeat few kinds and keys many times.
+#[derive(Debug, Default)]
+pub(crate) struct SharedWords {
+    words: BTreeSet<Arc<str>>,
+}
+
+impl SharedWords {
+    /// Builds a section that shares its kind and keys with the others built here.
+    pub(crate) fn section(&mut self, record: &SectionRecord) -> Section {
+        let mut entries = BTreeMap::new();
+        for (key, value) in &record.entries {
+            entries.insert(self.share(key), Arc::from(value.as_str()));
+        }
+        Section {
+            kind: self.share(&record.kind),
+            name: Arc::from(record.name.as_str()),
+            entries,
+        }
+    }
+
+    fn share(&mut self, word: &str) -> Arc<str> {
+        if let Some(shared) = self.words.get(word) {
+            return Arc::clone(shared);
+        }
+        let shared = Arc::<str>::from(word);
+        self.words.insert(Arc::clone(&shared));
+        shared
+    }
+}
+
 /// Finds what has to be published to turn `old` into `new`.
 pub fn diff(old: &Sections, new: &Sections) -> Delta {
     let mut delta = Delta::default();
@@ -223,15 +253,7 @@
 
 impl From<&SectionRecord> for Section {
     fn from(record: &SectionRecord) -> Self {
-        let mut entries = BTreeMap::new();
-        for (key, value) in &record.entries {
-            entries.insert(Arc::from(key.as_str()), Arc::from(value.as_str()));
-        }
-        Self {
-            kind: Arc::from(record.kind.as_str()),
-            name: Arc::from(record.name.as_str()),
-            entries,
-        }
+        SharedWords::default().section(record)
     }
 }
 
--- a/crates/mallowpath/src/replay.rs
+++ b/crates/mallowpath/src/replay.rs
@@ -8,7 +8,10 @@
 //! releases disagree, so a tighter check belongs to a new kind of record.
 
 use crate::{
-    change::{Change, ConfigCheckpoint, ConfigEntry, ConfigRecord, JudgedChange, SectionRecord},
+    change::{
+        Change, ConfigCheckpoint, ConfigEntry, ConfigRecord, JudgedChange, SectionRecord,
+        SharedWords,
+    },
     fleet::Fleet,
     id::{Offset, Version},
     issue::IssueReport,
@@ -235,8 +238,9 @@
             let old = self.sections.remove(&name);
             undo.push((name, old));
         }
+        let mut words = SharedWords::default();
         for record in &change.set {
-            let section = Section::from(record);
+            let section = words.section(record);
             let name = section.section_name();
             let old = self.sections.insert(name.clone(), section);
             undo.push((name, old));
@@ -324,9 +328,10 @@
     let mut records = vec![mem::take(&mut head.sections)];
     records.extend(parts.into_values().map(|part| part.sections));
     let mut sections = Sections::new();
+    let mut words = SharedWords::default();
     for part in records {
         for record in part {
-            let section = Section::from(&record);
+            let section = words.section(&record);
             sections.insert(section.section_name(), section);
         }
     }
