--- a/crates/mallowpath/src/bill_book.rs
+++ b/crates/mallowpath/src/bill_book.rs
@@ -183,6 +183,11 @@
         bills
     }
 
+    /// Makes the next batch due at once, for an answer that waits for its bill.
+    pub fn hurry(&mut self) {
+        self.batched_ms = None;
+    }
+
     /// Returns the batch to append now, if any.
     ///
     /// One batch is under way at a time. It is returned again, unchanged, until
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -308,6 +308,18 @@
         }
     }
 
+    /// Returns all grants from now on as soon as no slice of them is out.
+    pub fn close(&mut self) {
+        self.settings.idle_ms = 0;
+        self.settings.scarce_idle_ms = 0;
+    }
+
+    /// Returns whether no grant is held and nothing waits to be appended.
+    pub fn is_settled(&self) -> bool {
+        let held = self.accounts.values().any(|account| !account.grants.is_empty());
+        !held && self.outbox.is_empty()
+    }
+
     /// Queues records made elsewhere, such as proven reclaims.
     pub fn push(&mut self, record: LedgerRecord) {
         self.outbox.push(record);
--- a/crates/mallowpath/src/ledger.rs
+++ b/crates/mallowpath/src/ledger.rs
@@ -46,6 +46,9 @@
     pub(crate) offset: u64,
 }
 
+/// The number of ledger streams; all processes of a fleet must agree on it.
+pub const LEDGER_SHARDS: u32 = 32;
+
 /// Returns the shard of a budget among `shards` shards.
 pub fn shard_of(budget: &BudgetId, shards: u32) -> u32 {
     let hash = xxh3_64(budget.as_str().as_bytes());
--- a/crates/mallowpath/src/ledger_records.rs
+++ b/crates/mallowpath/src/ledger_records.rs
@@ -132,6 +132,14 @@
     pub state_hash: u64,
 }
 
+impl From<CheckpointRecord> for LedgerRecord {
+    fn from(checkpoint: CheckpointRecord) -> Self {
+        Self {
+            entry: Some(LedgerEntry::Checkpoint(checkpoint)),
+        }
+    }
+}
+
 impl LedgerRecord {
     /// Makes a record that sets the prepaid amount of a budget.
     pub fn limit(budget: &BudgetId, version: Version, tokens: Tokens) -> Self {
--- a/crates/mallowpath/src/outbox.rs
+++ b/crates/mallowpath/src/outbox.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Returns whether nothing waits to be appended or read back.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.queue.is_empty() && self.in_flight.is_none()
+    }
+
     pub(crate) fn push(&mut self, record: LedgerRecord) {
         self.queue.push(record);
     }
--- a/crates/mallowpath/src/replay.rs
+++ b/crates/mallowpath/src/replay.rs
@@ -8,7 +8,10 @@
 //! releases disagree, so a tighter check belongs to a new kind of record.
 
 use crate::{
-    change::{Change, ConfigCheckpoint, ConfigEntry, ConfigRecord, JudgedChange, SectionRecord},
+    change::{
+        Change, ConfigCheckpoint, ConfigEntry, ConfigRecord, JudgedChange, SectionRecord,
+        SharedWords,
+    },
     fleet::Fleet,
     id::{Offset, Version},
     issue::IssueReport,
@@ -19,9 +22,10 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     fmt::{self, Display},
+    mem,
     sync::Arc,
 };
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 /// How many judged changes are kept to know their repetitions.
 const MAX_RECENT_CHANGES: usize = 1_024;
@@ -152,9 +156,12 @@
 
     /// Hashes all that decides how later records are judged.
     pub fn state_hash(&self) -> u64 {
-        let mut whole = self.head();
-        whole.sections = self.sections.values().map(SectionRecord::from).collect();
-        xxh3_64(&whole.encode_to_vec())
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.head().encode_to_vec());
+        for section in self.sections.values() {
+            hasher.update(&SectionRecord::from(section).encode_length_delimited_to_vec());
+        }
+        hasher.digest()
     }
 
     /// Returns the state as checkpoint parts to append; they depend on the prefix only.
@@ -214,7 +221,8 @@
             return self.void(ConfigVoid::OtherBase(base));
         }
         let undo = self.replace_sections(change);
-        match Fleet::from_sections(&self.sections) {
+        let changed: Vec<&SectionName> = undo.iter().map(|(name, _)| name).collect();
+        match self.fleet.updated(&self.sections, &changed) {
             Ok(fleet) => {
                 self.fleet = Arc::new(fleet);
                 self.version = Version(self.next.0 + 1);
@@ -236,8 +244,9 @@
             let old = self.sections.remove(&name);
             undo.push((name, old));
         }
+        let mut words = SharedWords::default();
         for record in &change.set {
-            let section = Section::from(record);
+            let section = words.section(record);
             let name = section.section_name();
             let old = self.sections.insert(name.clone(), section);
             undo.push((name, old));
@@ -302,6 +311,7 @@
         if parts.len() != usize::try_from(part.parts).ok()? {
             return None;
         }
+        let parts = self.parts.remove(&key)?;
         assemble(parts)
     }
 
@@ -319,12 +329,15 @@
 }
 
 /// Builds the state of a complete set of parts, unless its hash shows that it is damaged.
-fn assemble(parts: &BTreeMap<u32, ConfigCheckpoint>) -> Option<ConfigState> {
-    let head = parts.get(&0)?;
+fn assemble(mut parts: BTreeMap<u32, ConfigCheckpoint>) -> Option<ConfigState> {
+    let mut head = parts.remove(&0)?;
+    let mut records = vec![mem::take(&mut head.sections)];
+    records.extend(parts.into_values().map(|part| part.sections));
     let mut sections = Sections::new();
-    for part in parts.values() {
-        for record in &part.sections {
-            let section = Section::from(record);
+    let mut words = SharedWords::default();
+    for part in records {
+        for record in part {
+            let section = words.section(&record);
             sections.insert(section.section_name(), section);
         }
     }
--- a/crates/mallowpath/src/run.rs
+++ b/crates/mallowpath/src/run.rs
@@ -308,6 +308,19 @@
         self.leaving = true;
     }
 
+    /// Returns the chunks of a run from one on.
+    pub fn chunks_from(&self, id: RequestId, from_chunk: usize) -> Vec<Bytes> {
+        match self.runs.get(&id) {
+            Some(run) => run.chunks.get(from_chunk..).unwrap_or_default().to_vec(),
+            None => Vec::new(),
+        }
+    }
+
+    /// Returns whether a run is in the table, going on or finished.
+    pub fn holds(&self, id: RequestId) -> bool {
+        self.runs.contains_key(&id)
+    }
+
     /// Returns the number of runs that go on.
     pub fn running(&self) -> usize {
         self.running
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -6,10 +6,11 @@
 use crate::{
     id::{BackendId, HostId, Region, ServiceId, Zone},
     ini::IniDocument,
+    link::LinkSettings,
     issue::{Issue, IssueReport, nearest},
     section::{Reader, Section, sections_of},
 };
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc};
 
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.1:8080";
 const NAME: &str = "a name of letters, digits and - _ . / :";
@@ -79,6 +80,8 @@
     pub sidecars_per_service: u64,
     /// How many requests may wait for a backend server.
     pub max_waiting: u64,
+    /// How long a draining router takes connections while the balancer learns of it.
+    pub drain_notice_ms: u64,
 }
 
 /// Settings of a sidecar.
@@ -113,6 +116,17 @@
     pub load_poll_ms: u64,
 }
 
+impl PeerTiming {
+    /// Returns the times of connections to peers.
+    pub(crate) fn link(&self) -> LinkSettings {
+        LinkSettings {
+            heartbeat_ms: self.heartbeat_ms,
+            silent_after_ms: self.peer_timeout_ms,
+            connect_ms: self.connect_timeout_ms,
+        }
+    }
+}
+
 impl RouterSettings {
     /// Reads the section `[router]`.
     ///
@@ -145,6 +159,24 @@
     }
 }
 
+/// Reads a router's settings from a file.
+///
+/// # Errors
+///
+/// Returns every issue with its file and line.
+pub fn read_router_settings(file: &Path) -> Result<RouterSettings, IssueReport> {
+    RouterSettings::from_document(&IniDocument::read_file(file))
+}
+
+/// Reads a sidecar's settings from a file.
+///
+/// # Errors
+///
+/// Returns every issue with its file and line.
+pub fn read_sidecar_settings(file: &Path) -> Result<SidecarSettings, IssueReport> {
+    SidecarSettings::from_document(&IniDocument::read_file(file))
+}
+
 fn read<T>(
     document: &IniDocument,
     wanted: &str,
@@ -202,6 +234,7 @@
         slice_ms: millis(reader, "slice_ms", default.slice_ms),
         sidecars_per_service: count(reader, "sidecars_per_service", default.sidecars_per_service),
         max_waiting: count(reader, "max_waiting", default.max_waiting),
+        drain_notice_ms: millis(reader, "drain_notice_ms", default.drain_notice_ms),
     };
     let host = host?;
     let callers_listen = callers_listen?;
@@ -344,6 +377,7 @@
             slice_ms: 5_000,
             sidecars_per_service: 16,
             max_waiting: 10_000,
+            drain_notice_ms: 1_000,
         }
     }
 }
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -295,6 +295,16 @@
         }
     }
 
+    /// Returns all slices from now on as soon as nothing of them is reserved.
+    pub fn close(&mut self) {
+        self.settings.idle_ms = 0;
+    }
+
+    /// Returns whether no slice is held.
+    pub fn is_empty(&self) -> bool {
+        self.accounts.values().all(|account| account.slices.is_empty())
+    }
+
     /// Stops spending for good, once this incarnation is known to be fenced.
     pub fn revoke(&mut self) {
         self.revoked = true;
