--- /dev/null
+++ b/crates/embedded/src/site.rs
@@ -0,0 +1,235 @@
+//! Starting and stopping the processes of a small fleet inside this process.
+
+use crate::example_configuration;
+use mallowpath::{
+    HostSettings, LogClient, LogClientSettings, PeerTiming, Router, RouterAddresses,
+    RouterSettings, RouterTuning, Sections, Sidecar, SidecarSettings, SidecarTuning, publish,
+};
+use mallowpath_standins::{engine, host_list, log_service, plain_service};
+use std::{
+    error::Error,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+const READY_TRIES: u32 = 200;
+const READY_PAUSE_MS: u64 = 25;
+
+/// What a site consists of.
+#[derive(Debug, Clone)]
+pub struct SiteSettings {
+    /// Where the first router takes callers; the other routers take free ports.
+    pub callers_listen: SocketAddr,
+    /// Number of routers.
+    pub routers: usize,
+    /// Number of availability zones, over which hosts are spread in turn.
+    pub zones: usize,
+    /// Model engines: name of the model and how each behaves.
+    pub engines: Vec<(String, engine::Settings)>,
+    /// Plain services: name and how each behaves.
+    pub services: Vec<(String, plain_service::Settings)>,
+    /// The log service.
+    pub log: log_service::Settings,
+    /// The fleet's configuration.
+    pub configuration: Sections,
+    /// Times of connections between processes.
+    pub timing: PeerTiming,
+    /// Tuning of the routers.
+    pub router_tuning: RouterTuning,
+    /// Tuning of the sidecars.
+    pub sidecar_tuning: SidecarTuning,
+}
+
+/// A running site; it ends when it is dropped.
+#[derive(Debug)]
+pub struct Site {
+    /// The routers with their addresses.
+    pub routers: Vec<(Arc<Router>, RouterAddresses)>,
+    /// The sidecars.
+    pub sidecars: Vec<Arc<Sidecar>>,
+    /// The log service.
+    pub log: mallowpath_standins::Handle<log_service::Settings>,
+    /// The host list.
+    pub hosts: mallowpath_standins::Handle<host_list::Settings>,
+    /// The model engines.
+    pub engines: Vec<mallowpath_standins::Handle<engine::Settings>>,
+    /// The plain services.
+    pub services: Vec<mallowpath_standins::Handle<plain_service::Settings>>,
+}
+
+impl Site {
+    /// Starts all parts and waits until every router reaches every sidecar.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a part can't be started.
+    pub async fn start(settings: SiteSettings) -> Result<Self, Box<dyn Error + Send + Sync>> {
+        let log = log_service::start(settings.log.clone()).await?;
+        let hosts = host_list::start(host_list::Settings::default()).await?;
+        let client = LogClient::new(log.address, LogClientSettings::default());
+        publish(&client, &settings.configuration, "embedded").await?;
+        let mut site = Self {
+            routers: Vec::new(),
+            sidecars: Vec::new(),
+            log,
+            hosts,
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        site.start_backends(&settings).await?;
+        site.start_routers(&settings).await?;
+        site.wait_until_connected().await;
+        Ok(site)
+    }
+
+    async fn start_backends(
+        &mut self,
+        settings: &SiteSettings,
+    ) -> Result<(), Box<dyn Error + Send + Sync>> {
+        for (model, engine) in &settings.engines {
+            let handle = engine::start(engine.clone()).await?;
+            let address = handle.address;
+            self.engines.push(handle);
+            self.start_sidecar(settings, model, address).await?;
+        }
+        for (service, behaviour) in &settings.services {
+            let handle = plain_service::start(behaviour.clone()).await?;
+            let address = handle.address;
+            self.services.push(handle);
+            self.start_sidecar(settings, service, address).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_sidecar(
+        &mut self,
+        settings: &SiteSettings,
+        service: &str,
+        backend_address: SocketAddr,
+    ) -> Result<(), Box<dyn Error + Send + Sync>> {
+        let number = self.sidecars.len();
+        let name = format!("{service}-{number}");
+        let sidecar_settings = SidecarSettings {
+            host: self.place(&name, settings, number)?,
+            backend: name.parse()?,
+            backend_address,
+            service: service.parse()?,
+            timing: settings.timing.clone(),
+            tuning: settings.sidecar_tuning.clone(),
+        };
+        let zone = sidecar_settings.host.zone.to_string();
+        let (sidecar, addresses) = Sidecar::start(sidecar_settings).await?;
+        self.register(&name, "sidecar", &zone, addresses.peers)
+            .await?;
+        self.sidecars.push(sidecar);
+        Ok(())
+    }
+
+    async fn start_routers(
+        &mut self,
+        settings: &SiteSettings,
+    ) -> Result<(), Box<dyn Error + Send + Sync>> {
+        for number in 0..settings.routers {
+            let name = format!("router-{number}");
+            let callers_listen = if number == 0 {
+                settings.callers_listen
+            } else {
+                free_port()
+            };
+            let router_settings = RouterSettings {
+                host: self.place(&name, settings, number)?,
+                callers_listen,
+                timing: settings.timing.clone(),
+                tuning: settings.router_tuning.clone(),
+            };
+            let zone = router_settings.host.zone.to_string();
+            let (router, addresses) = Router::start(router_settings).await?;
+            self.register(&name, "router", &zone, addresses.peers)
+                .await?;
+            self.routers.push((router, addresses));
+        }
+        Ok(())
+    }
+
+    fn place(
+        &self,
+        name: &str,
+        settings: &SiteSettings,
+        number: usize,
+    ) -> Result<HostSettings, Box<dyn Error + Send + Sync>> {
+        Ok(HostSettings {
+            name: name.parse()?,
+            zone: format!("zone-{}", number % settings.zones.max(1)).parse()?,
+            region: "local".parse()?,
+            peer_listen: free_port(),
+            admin_listen: free_port(),
+            log_service: self.log.address,
+            host_list: self.hosts.address,
+        })
+    }
+
+    /// Enters a host into the host list, as the platform does.
+    async fn register(
+        &self,
+        name: &str,
+        role: &str,
+        zone: &str,
+        address: SocketAddr,
+    ) -> Result<(), Box<dyn Error + Send + Sync>> {
+        let host = host_list::Host {
+            name: name.to_owned(),
+            address,
+            role: role.to_owned(),
+            availability_zone: zone.to_owned(),
+            region: "local".to_owned(),
+            state: "live".to_owned(),
+        };
+        host_list::enter(self.hosts.address, &host).await?;
+        Ok(())
+    }
+
+    /// Waits until every router has a connection to every sidecar.
+    async fn wait_until_connected(&self) {
+        for _ in 0..READY_TRIES {
+            let mut connected = true;
+            for (router, _) in &self.routers {
+                connected &= router.connected_backends() >= self.sidecars.len();
+            }
+            if connected {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(READY_PAUSE_MS)).await;
+        }
+        log::warn!("some routers do not reach every sidecar yet");
+    }
+}
+
+fn free_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+impl Default for SiteSettings {
+    fn default() -> Self {
+        let engine = engine::Settings {
+            model: "small".into(),
+            ..engine::Settings::default()
+        };
+        let service = plain_service::Settings::default();
+        Self {
+            callers_listen: free_port(),
+            routers: 1,
+            zones: 1,
+            engines: vec![("small".into(), engine.clone()), ("small".into(), engine)],
+            services: vec![
+                ("lookup".into(), service.clone()),
+                ("notices".into(), service),
+            ],
+            log: log_service::Settings::default(),
+            configuration: example_configuration(),
+            timing: PeerTiming::default(),
+            router_tuning: RouterTuning::default(),
+            sidecar_tuning: SidecarTuning::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/admin.rs
@@ -0,0 +1,114 @@
+//! The listener for the balancer and operators, apart from the callers' one.
+//!
+//! | path | answer |
+//! |---|---|
+//! | `GET /live` | `200` while the process runs |
+//! | `GET /ready` | `200` while it takes new work, else `503` |
+//! | `GET /metrics` | metrics in Prometheus' text format |
+//! | `GET /dump` | the whole state of the process as JSON |
+//! | `POST /drain` | starts a graceful shutdown |
+
+use crate::error::{Category, Error, Result};
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    routing::{get, post},
+};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde_json::Value;
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
+use tokio::net::TcpListener;
+
+/// What the admin listener asks of its process.
+#[derive(Clone)]
+pub struct Hooks {
+    /// Whether the process takes new work.
+    pub ready: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Describes the whole state of the process.
+    pub dump: Arc<dyn Fn() -> Value + Send + Sync>,
+    /// Starts a graceful shutdown.
+    pub drain: Arc<dyn Fn() + Send + Sync>,
+}
+
+/// Serves the admin paths on `listen` until the process ends and returns the bound address.
+///
+/// # Errors
+///
+/// Fails with [`Category::Io`] when the address can't be bound.
+pub async fn serve_admin(listen: SocketAddr, hooks: Hooks) -> Result<SocketAddr> {
+    let (listener, address) = bind(listen, "listen for operators").await?;
+    // The recorder must be there before the first metric is counted.
+    recorder();
+    let app = Router::new()
+        .route("/live", get(|| async { "live\n" }))
+        .route("/ready", get(ready))
+        .route("/metrics", get(|| async { recorder().render() }))
+        .route("/dump", get(dump))
+        .route("/drain", post(drain))
+        .with_state(hooks);
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, app).await {
+            log::error!("the admin listener ended: {error}");
+        }
+    });
+    Ok(address)
+}
+
+/// Binds `listen` and returns the listener with its address.
+///
+/// # Errors
+///
+/// Fails with [`Category::Io`] when the address can't be bound.
+pub(crate) async fn bind(
+    listen: SocketAddr,
+    step: &'static str,
+) -> Result<(TcpListener, SocketAddr)> {
+    let bound = match TcpListener::bind(listen).await {
+        Ok(listener) => listener.local_addr().map(|address| (listener, address)),
+        Err(error) => Err(error),
+    };
+    match bound {
+        Ok(bound) => Ok(bound),
+        Err(error) => Err(Error::new(Category::Io, step, listen, "can't bind").with_source(error)),
+    }
+}
+
+fn recorder() -> &'static PrometheusHandle {
+    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+    RECORDER.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        if metrics::set_global_recorder(recorder).is_err() {
+            log::warn!("another metrics recorder is installed, /metrics stays empty");
+        }
+        handle
+    })
+}
+
+async fn ready(State(hooks): State<Hooks>) -> (StatusCode, &'static str) {
+    if (hooks.ready)() {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+async fn dump(State(hooks): State<Hooks>) -> Json<Value> {
+    Json((hooks.dump)())
+}
+
+async fn drain(State(hooks): State<Hooks>) -> &'static str {
+    (hooks.drain)();
+    "draining\n"
+}
+
+impl fmt::Debug for Hooks {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Hooks").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/budgets.rs
@@ -0,0 +1,351 @@
+//! A router's share in the budgets: its wallet, and the keepers that it is for its zone.
+
+use crate::{
+    id::{BudgetId, Incarnation, SliceId, Tokens, Version},
+    keeper::KeeperSettings,
+    keeper_task::{KeeperTask, describe_ledger, keeper_incarnation},
+    ledger::{LEDGER_SHARDS, shard_of},
+    link::now_ms,
+    peers::keeper_host,
+    refusal::{Code, Refusal},
+    router::Router,
+    slice::{SliceRequest, SliceReturn},
+    wallet::{OutgoingRequest, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings},
+    wire::{self, Body},
+};
+use serde_json::{Value, json};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::{Mutex as AsyncMutex, Notify},
+    time::{MissedTickBehavior, interval, timeout},
+};
+
+const TICK_MS: u64 = 50;
+const ASK_MS: u64 = 1000;
+/// How long a request waits for tokens before it is told to come back.
+const WAIT_FOR_TOKENS_MS: u64 = 1500;
+const DRAIN_TRIES: u32 = 40;
+
+/// The wallet of a router and its keepers by shard.
+#[derive(Debug)]
+pub(crate) struct Budgets {
+    wallet: Mutex<Wallet>,
+    /// Told when slices came in or a keeper refused.
+    answered: Notify,
+    /// Told when the wallet has something to ask for.
+    wanting: Notify,
+    keepers: AsyncMutex<HashMap<u32, Arc<KeeperTask>>>,
+    keeper_places: Mutex<KeeperPlaces>,
+}
+
+/// Where keepers are.
+#[derive(Debug, Default)]
+struct KeeperPlaces {
+    /// The keeper to ask for each shard.
+    current: HashMap<u32, Incarnation>,
+    /// The addresses of all keepers met; none for one in this process.
+    addresses: HashMap<Incarnation, Option<SocketAddr>>,
+}
+
+impl KeeperPlaces {
+    fn place(&mut self, shard: u32, router: Incarnation, address: Option<SocketAddr>) {
+        let keeper = keeper_incarnation(router, shard);
+        self.current.insert(shard, keeper);
+        self.addresses.insert(keeper, address);
+    }
+}
+
+impl Budgets {
+    /// Makes an empty wallet.
+    pub(crate) fn new(incarnation: Incarnation) -> Self {
+        Self {
+            wallet: Mutex::new(Wallet::new(incarnation, WalletSettings::default())),
+            answered: Notify::new(),
+            wanting: Notify::new(),
+            keepers: AsyncMutex::new(HashMap::new()),
+            keeper_places: Mutex::new(KeeperPlaces::default()),
+        }
+    }
+
+    /// Describes what is held of each budget.
+    pub(crate) fn dump(&self) -> Value {
+        let mut held = serde_json::Map::new();
+        for (budget, outstanding) in self.wallet().outstanding() {
+            let entry = json!({
+                "free": outstanding.free,
+                "reserved": outstanding.reserved,
+                "closing": outstanding.closing,
+            });
+            held.insert(budget.to_string(), entry);
+        }
+        let mut keepers = serde_json::Map::new();
+        if let Ok(tasks) = self.keepers.try_lock() {
+            for (shard, task) in tasks.iter() {
+                let described = task.with(|keeper| describe_ledger(keeper.ledger()));
+                keepers.insert(shard.to_string(), described);
+            }
+        }
+        json!({"held": held, "keeper_of_shards": keepers})
+    }
+
+    fn wallet(&self) -> MutexGuard<'_, Wallet> {
+        self.wallet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn places(&self) -> MutexGuard<'_, KeeperPlaces> {
+        self.keeper_places
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Router {
+    /// Sets tokens of a budget aside, waiting a little for them if need be.
+    pub(crate) async fn reserve(
+        &self,
+        budget: &BudgetId,
+        tokens: Tokens,
+        deadline: Instant,
+    ) -> Result<Reservation, Refusal> {
+        let give_up = deadline.min(Instant::now() + Duration::from_millis(WAIT_FOR_TOKENS_MS));
+        loop {
+            let answered = self.budgets.answered.notified();
+            let outcome = self.budgets.wallet().reserve(budget, tokens, now_ms());
+            let retry_after_ms = match outcome {
+                ReserveOutcome::Reserved(reservation) => {
+                    self.budgets.wanting.notify_one();
+                    return Ok(reservation);
+                }
+                ReserveOutcome::Exhausted => return Err(exhausted(budget, tokens)),
+                ReserveOutcome::Short { retry_after_ms } => retry_after_ms,
+                ReserveOutcome::UnknownBudget => WAIT_FOR_TOKENS_MS,
+                ReserveOutcome::Revoked => {
+                    let text = "this router was fenced and is to be replaced";
+                    return Err(Refusal::not_run(Code::ShuttingDown, text).after(ASK_MS));
+                }
+            };
+            self.budgets.wanting.notify_one();
+            let left = give_up.saturating_duration_since(Instant::now());
+            if timeout(left, answered).await.is_err() {
+                return Err(unavailable(budget, retry_after_ms));
+            }
+        }
+    }
+
+    /// Frees what a request did not spend and returns what it spent of each slice.
+    pub(crate) fn settle(&self, reservation: Reservation, spent: Tokens) -> Vec<SlicePart> {
+        let parts = self.budgets.wallet().settle(reservation, spent);
+        self.budgets.answered.notify_waiters();
+        parts
+    }
+
+    /// Returns the keeper of a shard in this process, starting it if need be.
+    pub(crate) async fn local_keeper(&self, shard: u32) -> crate::Result<Arc<KeeperTask>> {
+        let mut keepers = self.budgets.keepers.lock().await;
+        if let Some(task) = keepers.get(&shard) {
+            return Ok(Arc::clone(task));
+        }
+        let settings = KeeperSettings::default();
+        let task = KeeperTask::start(self.incarnation, shard, self.log.clone(), settings).await?;
+        log::info!("keeping budget shard {shard} as {}", task.incarnation());
+        keepers.insert(shard, Arc::clone(&task));
+        Ok(task)
+    }
+
+    /// Answers a slice request as keeper.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the shard's ledger can't be loaded.
+    pub(crate) async fn keep(&self, request: &SliceRequest) -> crate::Result<wire::SliceReply> {
+        let shard = shard_of(&request.budget, LEDGER_SHARDS);
+        let task = self.local_keeper(shard).await?;
+        let reply = task.request(request, self.limit_of(&request.budget)).await;
+        Ok(wire::SliceReply::new(task.incarnation(), &reply))
+    }
+
+    /// Takes a slice back as keeper; returns whether the router can forget it.
+    pub(crate) async fn keep_return(&self, returned: &SliceReturn) -> bool {
+        let shard = shard_of(&returned.budget, LEDGER_SHARDS);
+        match self.local_keeper(shard).await {
+            Ok(task) if task.incarnation() == returned.slice.id.incarnation => {
+                task.return_slice(returned)
+            }
+            Ok(_) => false,
+            Err(error) => {
+                log::warn!("{error}");
+                false
+            }
+        }
+    }
+
+    fn limit_of(&self, budget: &BudgetId) -> Option<(Version, Tokens)> {
+        let fleet = self.fleet();
+        let tokens = fleet.budgets.get(budget)?.tokens;
+        Some((self.config_version(), tokens))
+    }
+
+    /// Returns the keeper to ask for a budget, if it is known.
+    fn known_keeper(&self, budget: &BudgetId) -> Option<Incarnation> {
+        let shard = shard_of(budget, LEDGER_SHARDS);
+        self.budgets.places().current.get(&shard).copied()
+    }
+
+    /// Finds out which process keeps each shard.
+    ///
+    /// Where the host list names none, or the one named can't be reached, this process keeps the
+    /// shard: two keepers at once cost tokens that lie idle, never an overspend.
+    async fn locate_keepers(&self) {
+        let hosts = self.hosts();
+        for shard in 0..LEDGER_SHARDS {
+            let host = keeper_host(&self.settings.host.zone, shard, &hosts);
+            let remote = host.filter(|host| host.name != self.settings.host.name);
+            let Some(remote) = remote else {
+                self.budgets.places().place(shard, self.incarnation, None);
+                continue;
+            };
+            match self.dialer.link(remote.address).await {
+                Ok(link) => {
+                    let router = link.peer_incarnation();
+                    self.budgets
+                        .places()
+                        .place(shard, router, Some(remote.address));
+                }
+                Err(error) => {
+                    log::debug!("{error}");
+                    self.budgets.places().place(shard, self.incarnation, None);
+                }
+            }
+        }
+    }
+
+    async fn ask_keeper(&self, outgoing: &OutgoingRequest) -> Option<wire::SliceReply> {
+        let address = *self.budgets.places().addresses.get(&outgoing.keeper)?;
+        let Some(address) = address else {
+            return match self.keep(&outgoing.request).await {
+                Ok(reply) => Some(reply),
+                Err(error) => {
+                    log::warn!("{error}");
+                    None
+                }
+            };
+        };
+        let link = self.dialer.link(address).await.ok()?;
+        let body = Body::SliceRequest((&outgoing.request).into());
+        match link.ask(body, Duration::from_millis(ASK_MS)).await {
+            Ok(Body::SliceReply(reply)) => Some(reply),
+            Ok(other) => {
+                log::warn!("{} answered a slice request with {other:?}", link.remote());
+                None
+            }
+            Err(error) => {
+                log::info!("{error}");
+                None
+            }
+        }
+    }
+
+    async fn send_return(&self, returned: &SliceReturn) -> bool {
+        let keeper = returned.slice.id.incarnation;
+        let Some(address) = self.budgets.places().addresses.get(&keeper).copied() else {
+            return false;
+        };
+        let Some(address) = address else {
+            return self.keep_return(returned).await;
+        };
+        let Ok(link) = self.dialer.link(address).await else {
+            return false;
+        };
+        let body = Body::SliceReturn(returned.into());
+        matches!(
+            link.ask(body, Duration::from_millis(ASK_MS)).await,
+            Ok(Body::Done(_))
+        )
+    }
+
+    /// Sends what the wallet asks for and gives back, each in a task of its own.
+    fn exchange_slices(self: &Arc<Self>) {
+        let requests = {
+            let mut wallet = self.budgets.wallet();
+            wallet.requests(|budget| self.known_keeper(budget), now_ms())
+        };
+        for outgoing in requests {
+            let router = Arc::clone(self);
+            tokio::spawn(async move {
+                let Some(reply) = router.ask_keeper(&outgoing).await else {
+                    return;
+                };
+                let keeper = Incarnation(reply.keeper);
+                router
+                    .budgets
+                    .wallet()
+                    .reply(keeper, &reply.read(), now_ms());
+                router.budgets.answered.notify_waiters();
+                router.budgets.wanting.notify_one();
+            });
+        }
+        let returns = self.budgets.wallet().returns(now_ms());
+        for returned in returns {
+            let router = Arc::clone(self);
+            tokio::spawn(async move {
+                if router.send_return(&returned).await {
+                    let id: SliceId = returned.slice.id;
+                    router.budgets.wallet().returned(&returned.budget, id);
+                }
+            });
+        }
+    }
+}
+
+/// Keeps the wallet filled for the life of the process.
+pub(crate) async fn refill(router: Arc<Router>) {
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut hosts = router.host_updates();
+    router.locate_keepers().await;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = router.budgets.wanting.notified() => {}
+        }
+        if hosts.has_changed().unwrap_or(false) {
+            hosts.mark_unchanged();
+            router.locate_keepers().await;
+        }
+        router.exchange_slices();
+    }
+}
+
+/// Gives every slice back before the process ends.
+pub(crate) async fn return_all(router: &Arc<Router>) {
+    router.budgets.wallet().close();
+    for _ in 0..DRAIN_TRIES {
+        router.exchange_slices();
+        tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        if router.budgets.wallet().is_empty() {
+            break;
+        }
+    }
+    let keepers = router.budgets.keepers.lock().await;
+    for task in keepers.values() {
+        task.close().await;
+    }
+}
+
+#[cold]
+fn exhausted(budget: &BudgetId, tokens: Tokens) -> Refusal {
+    let text =
+        format!("budget {budget} can't cover the {tokens} tokens that this request may cost");
+    Refusal::not_run(Code::BudgetExhausted, text)
+}
+
+#[cold]
+fn unavailable(budget: &BudgetId, retry_after_ms: u64) -> Refusal {
+    let text = format!("tokens of budget {budget} can't be had here at the moment");
+    Refusal::not_run(Code::BudgetUnavailable, text).after(retry_after_ms)
+}
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -316,7 +316,10 @@
 
     /// Returns whether no grant is held and nothing waits to be appended.
     pub fn is_settled(&self) -> bool {
-        let held = self.accounts.values().any(|account| !account.grants.is_empty());
+        let held = self
+            .accounts
+            .values()
+            .any(|account| !account.grants.is_empty());
         !held && self.outbox.is_empty()
     }
 
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,4 +1,5 @@
 //! Router fleet for prepaid token budgets.
+//! Router fleet for prepaid token budgets.
 
 mod admin;
 mod audit;
@@ -22,6 +23,7 @@
 mod error;
 mod estimate;
 mod fleet;
+mod fleet_check;
 mod fleet_read;
 mod follow;
 mod front;
@@ -81,34 +83,58 @@
 pub use admin::{Hooks, serve_admin};
 pub use audit::{Audit, BillConflict, BillTotal};
 pub use backend::{Backend, BackendState, LoadReport};
-pub use backoff::{Backoff};
+pub use backoff::Backoff;
 pub use baseline::{least_outstanding, round_robin};
 pub use bill::{Bill, BillBatch, BillOutcome, BillRecord, PartRecord, charge, sum_parts};
 pub use bill_book::{BillBook, BillCounts, BillSettings, BillState, BillWatermark, Recorded};
 pub use bill_shelf::{BillShelf, SidecarConfirmation};
-pub use change::{Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange, SectionNameRecord, SectionRecord, diff};
+pub use change::{
+    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
+    SectionNameRecord, SectionRecord, diff,
+};
 pub use chat::{ChatRequest, StreamEvent, Usage};
-pub use claim_verdict::{ClaimVerdict};
+pub use claim_verdict::ClaimVerdict;
 pub use error::{Category, Error, Result};
-pub use fleet::{BackendMode, BackendRule, BearerHash, Budget, Fleet, FleetRules, Service, ServiceKind, Services, WhenUnconfirmed, Workspace};
-pub use fleet_read::{parse_tokens};
+pub use fleet::{
+    BackendMode, BackendRule, BearerHash, Budget, Fleet, FleetRules, Service, ServiceKind,
+    Services, WhenUnconfirmed, Workspace,
+};
+pub use fleet_read::parse_tokens;
 pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
-pub use id::{BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId, ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone};
+pub use id::{
+    BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
+    ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
+};
 pub use ini::{IniDocument, IniSection, IniValue};
 pub use issue::{Issue, IssueReport, Place};
 pub use keeper::{Keeper, KeeperSettings};
-pub use key::{Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord, KeyShards, KeysChange, KeysRecord, key_shard, recover_keys};
+pub use key::{
+    Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
+    KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
+};
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
 pub use ledger::{DEDUPE_WINDOW_OFFSETS, Ledger, MAX_BUDGET_TOKENS, shard_of};
-pub use ledger_records::{CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord, RecordId, TopUpRecord};
+pub use ledger_records::{
+    CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
+    RecordId, TopUpRecord,
+};
 pub use link::{Call, Endpoint, Link, LinkSettings, Responder};
 pub use load_queue::{LoadOrder, LoadQueue, LoadSettings};
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use logging::{start_logging, wall_clock_ms};
-pub use members::{Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash};
-pub use order::{OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders, OrdersChange, OrdersCheckpoint, OrdersRecord};
-pub use prefix::{CacheEvent, CacheEventKind, PREFIX_BLOCK_BYTES, PREFIX_BLOCK_TOKENS, PrefixSketch, prefix_hashes};
+pub use members::{
+    Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint,
+    MembersRecord, confirmed_hash,
+};
+pub use order::{
+    OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders,
+    OrdersChange, OrdersCheckpoint, OrdersRecord,
+};
+pub use prefix::{
+    CacheEvent, CacheEventKind, PREFIX_BLOCK_BYTES, PREFIX_BLOCK_TOKENS, PrefixSketch,
+    prefix_hashes,
+};
 pub use publish::{Published, publish};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
 pub use refusal::{Code, Outcome, Refusal};
@@ -118,9 +144,16 @@
 pub use router::{Router, RouterAddresses};
 pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
 pub use section::{Section, SectionName, Sections, sections_of};
-pub use settings::{HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning, read_router_settings, read_sidecar_settings};
+pub use settings::{
+    HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+    read_router_settings, read_sidecar_settings,
+};
 pub use sidecar::{Sidecar, SidecarAddresses};
-pub use signal::{run_until_drained};
-pub use slice::{Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn};
+pub use signal::run_until_drained;
+pub use slice::{
+    GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
+};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
-pub use wallet::{GrantSpent, KeeperReport, OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings};
+pub use wallet::{
+    OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings,
+};
--- /dev/null
+++ b/crates/mallowpath/src/load_poll.rs
@@ -0,0 +1,52 @@
+//! Polling the backend server for its load.
+
+use crate::{
+    http_call::{Call, HttpCaller},
+    sidecar::Sidecar,
+    wire::Load,
+};
+use bytes::Bytes;
+use http::Method;
+use serde::Deserialize;
+use std::{sync::Arc, time::Duration};
+
+const POLL_MS: u64 = 500;
+const TIMEOUT_MS: u64 = 1000;
+
+#[derive(Deserialize)]
+struct Report {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    kv_used_tokens: u64,
+    #[serde(default)]
+    kv_total_tokens: u64,
+}
+
+/// Polls until the sidecar ends; a server without load reports is asked less often.
+pub(crate) async fn poll_load(sidecar: Arc<Sidecar>) {
+    let caller = HttpCaller::new(sidecar.settings.backend_address, TIMEOUT_MS);
+    loop {
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        let call = Call {
+            step: "read the load",
+            method: Method::GET,
+            path: "/v1/load".into(),
+            body: Bytes::new(),
+            timeout_ms: TIMEOUT_MS,
+        };
+        let Ok(answer) = caller.call(call).await else {
+            continue;
+        };
+        let Ok(report) = serde_json::from_slice::<Report>(&answer.body) else {
+            continue;
+        };
+        sidecar.set_load(Load {
+            running: report.running,
+            waiting: report.waiting,
+            kv_used_tokens: report.kv_used_tokens,
+            kv_total_tokens: report.kv_total_tokens,
+            age_ms: 0,
+        });
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/peers.rs
@@ -0,0 +1,68 @@
+//! Which hosts a router connects to, out of the host list.
+
+use crate::{
+    host_client::{HostEntry, HostList, HostRole, HostState},
+    id::Zone,
+    rendezvous::{Candidate, pick, pick_n, rendezvous_key},
+    settings::HostSettings,
+};
+use std::net::SocketAddr;
+
+/// Routers in other zones that a router keeps connections to, for bills and configuration.
+const WITNESSES: usize = 2;
+
+/// Returns the sidecars that a router connects to.
+pub(crate) fn sidecar_addresses(place: &HostSettings, hosts: &HostList) -> Vec<SocketAddr> {
+    let mut addresses = Vec::new();
+    for host in &hosts.hosts {
+        if host.role == HostRole::Sidecar && host.region == place.region {
+            addresses.push(host.address);
+        }
+    }
+    addresses
+}
+
+/// Returns the routers of other zones that keep this router's bills, best first.
+pub(crate) fn witness_addresses(place: &HostSettings, hosts: &HostList) -> Vec<SocketAddr> {
+    let mut others = Vec::new();
+    for host in &hosts.hosts {
+        let live = host.role == HostRole::Router && host.state == HostState::Live;
+        if live && host.zone != place.zone {
+            others.push(host);
+        }
+    }
+    let key = rendezvous_key(place.name.as_str());
+    let mut addresses = Vec::new();
+    for index in pick_n(key, &candidates(&others), WITNESSES) {
+        addresses.push(others[index].address);
+    }
+    addresses
+}
+
+/// Returns the router of a zone that keeps a budget shard.
+pub(crate) fn keeper_host<'a>(
+    zone: &Zone,
+    shard: u32,
+    hosts: &'a HostList,
+) -> Option<&'a HostEntry> {
+    let mut routers = Vec::new();
+    for host in &hosts.hosts {
+        let live = host.role == HostRole::Router && host.state == HostState::Live;
+        if live && host.zone == *zone {
+            routers.push(host);
+        }
+    }
+    let key = rendezvous_key(&format!("ledger-{shard}"));
+    pick(key, &candidates(&routers)).map(|index| routers[index])
+}
+
+fn candidates<'a>(hosts: &[&'a HostEntry]) -> Vec<Candidate<'a>> {
+    let mut candidates = Vec::with_capacity(hosts.len());
+    for host in hosts {
+        candidates.push(Candidate {
+            name: host.name.as_str(),
+            weight: 1.0,
+        });
+    }
+    candidates
+}
--- /dev/null
+++ b/crates/mallowpath/src/router.rs
@@ -0,0 +1,402 @@
+//! The process on an entry host: callers speak to it, and it speaks to sidecars and other routers.
+//!
+//! Every table has its own lock, and no task holds two of them at once.
+
+use crate::{
+    admin::{Hooks, bind, serve_admin},
+    bills::{Bills, LOST_ROUTER_MS},
+    budgets::Budgets,
+    config_task::Configuration,
+    dialer::Dialer,
+    error::Result,
+    fleet::{BackendMode, Fleet},
+    front,
+    host_client::{HostClient, HostClientSettings, HostList},
+    id::{BackendId, Incarnation, RequestId, Version},
+    job::Job,
+    link::{Endpoint, Link},
+    log_client::{LogClient, LogClientSettings},
+    peers::{sidecar_addresses, witness_addresses},
+    refusal::Refusal,
+    route::RouteSettings,
+    router_calls::serve_call,
+    routes::Routes,
+    running::Running,
+    seen::PeersSeen,
+    settings::{HostSettings, RouterSettings},
+    wire::{Heartbeat, Hello},
+};
+use serde_json::{Value, json};
+use std::{
+    fmt::{self, Display},
+    net::SocketAddr,
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{net::TcpListener, sync::watch};
+use tokio_util::sync::CancellationToken;
+
+/// Time for the last answers of a drained router to leave its sockets.
+const LAST_BYTES_MS: u64 = 200;
+
+/// The state of a router, shared by its tasks.
+pub struct Router {
+    pub(crate) settings: RouterSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) log: LogClient,
+    pub(crate) dialer: Arc<Dialer>,
+    pub(crate) running: Running,
+    pub(crate) configuration: Configuration,
+    pub(crate) budgets: Budgets,
+    pub(crate) bills: Bills,
+    routes: Routes,
+    peers_seen: PeersSeen,
+    hosts: watch::Receiver<Arc<HostList>>,
+    draining: AtomicBool,
+    /// Cancelled when the process may end.
+    ended: CancellationToken,
+}
+
+/// The addresses at which a router listens.
+#[derive(Debug, Clone, Copy)]
+pub struct RouterAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For peers.
+    pub peers: SocketAddr,
+    /// For operators and the balancer.
+    pub admin: SocketAddr,
+}
+
+impl Display for RouterAddresses {
+    /// Writes one line of JSON, as the process prints it when it is up.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            callers,
+            peers,
+            admin,
+        } = self;
+        write!(
+            f,
+            r#"{{"callers":"{callers}","peers":"{peers}","admin":"{admin}"}}"#
+        )
+    }
+}
+
+impl Router {
+    /// Starts the process and returns it with the addresses at which it listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound, or the configuration can be had neither from the log
+    /// service nor from a peer.
+    pub async fn start(settings: RouterSettings) -> Result<(Arc<Self>, RouterAddresses)> {
+        let (callers, callers_address) =
+            bind(settings.callers_listen, "listen for callers").await?;
+        let (peers, peers_address) = bind(settings.host.peer_listen, "listen for peers").await?;
+        let incarnation = Incarnation::random();
+        let log = LogClient::new(settings.host.log_service, LogClientSettings::default());
+        let hosts = watch_hosts(&settings.host);
+        let configuration = Configuration::load(&log).await?;
+        let router = Arc::new_cyclic(|weak: &Weak<Self>| {
+            let endpoint = endpoint(weak, &settings, incarnation, peers_address);
+            Self {
+                incarnation,
+                log: log.clone(),
+                dialer: Dialer::new(endpoint),
+                running: Running::default(),
+                configuration,
+                budgets: Budgets::new(incarnation),
+                bills: Bills::new(incarnation, &settings.tuning),
+                routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                peers_seen: PeersSeen::default(),
+                hosts,
+                draining: AtomicBool::new(false),
+                ended: CancellationToken::new(),
+                settings,
+            }
+        });
+        let admin = serve_admin(router.settings.host.admin_listen, router.hooks()).await?;
+        router.spawn_tasks(callers, peers);
+        let addresses = RouterAddresses {
+            callers: callers_address,
+            peers: peers_address,
+            admin,
+        };
+        log::info!("router {incarnation} serves callers at {callers_address}");
+        Ok((router, addresses))
+    }
+
+    fn spawn_tasks(self: &Arc<Self>, callers: TcpListener, peers: TcpListener) {
+        let app = front::routes(Arc::clone(self));
+        tokio::spawn(async move {
+            if let Err(error) = axum::serve(callers, app).await {
+                log::error!("the callers' listener ended: {error}");
+            }
+        });
+        tokio::spawn(Arc::clone(self).accept(peers));
+        tokio::spawn(Arc::clone(self).follow_hosts());
+        tokio::spawn(crate::config_task::follow(Arc::clone(self)));
+        tokio::spawn(crate::budgets::refill(Arc::clone(self)));
+        tokio::spawn(crate::bills::flush(Arc::clone(self)));
+    }
+
+    /// Refuses new work from now on and lets the process end once nothing is in progress.
+    pub fn drain(self: &Arc<Self>) {
+        if self.draining.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::info!("draining, {} requests go on", self.running.count());
+        let router = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(
+                router.settings.tuning.drain_notice_ms,
+            ))
+            .await;
+            router.running.idle().await;
+            crate::bills::settle_all(&router).await;
+            crate::budgets::return_all(&router).await;
+            tokio::time::sleep(Duration::from_millis(LAST_BYTES_MS)).await;
+            log::info!("drained");
+            router.ended.cancel();
+        });
+    }
+
+    /// Waits until the process has drained.
+    pub async fn drained(&self) {
+        self.ended.cancelled().await;
+    }
+
+    /// Returns whether the router refuses new work.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns the configuration in force.
+    pub fn fleet(&self) -> Arc<Fleet> {
+        self.configuration.fleet()
+    }
+
+    /// Returns the version of the configuration in force.
+    pub fn config_version(&self) -> Version {
+        self.configuration.version()
+    }
+
+    /// Returns how long ago the configuration in force was known to be the newest.
+    pub(crate) fn config_age_ms(&self) -> u64 {
+        self.configuration.age_ms()
+    }
+
+    /// Returns the number of backend servers that are connected and take work.
+    pub fn connected_backends(&self) -> usize {
+        self.routes.taking_work()
+    }
+
+    /// Returns the newest host list.
+    pub(crate) fn hosts(&self) -> Arc<HostList> {
+        Arc::clone(&self.hosts.borrow())
+    }
+
+    /// Returns a receiver of new host lists.
+    pub(crate) fn host_updates(&self) -> watch::Receiver<Arc<HostList>> {
+        self.hosts.clone()
+    }
+
+    /// Makes the identifier of a new request.
+    pub(crate) fn next_request(&self) -> RequestId {
+        self.bills.open()
+    }
+
+    pub(crate) fn choose(
+        &self,
+        job: &Job,
+        tried: &[BackendId],
+    ) -> std::result::Result<(BackendId, Arc<Link>), Refusal> {
+        self.routes.choose(job, tried)
+    }
+
+    pub(crate) fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
+    /// Describes the whole state.
+    pub fn dump(&self) -> Value {
+        json!({
+            "role": "router",
+            "host": self.settings.host.name,
+            "zone": self.settings.host.zone,
+            "region": self.settings.host.region,
+            "incarnation": self.incarnation,
+            "draining": self.is_draining(),
+            "requests_in_progress": self.running.count(),
+            "config_version": self.config_version(),
+            "config_age_ms": self.config_age_ms(),
+            "hosts_version": self.hosts().version,
+            "routes": self.routes.dump(),
+            "budgets": self.budgets.dump(),
+            "bills": self.bills.dump(),
+        })
+    }
+
+    fn hooks(self: &Arc<Self>) -> Hooks {
+        let ready = Arc::clone(self);
+        let dump = Arc::clone(self);
+        let drain = Arc::clone(self);
+        Hooks {
+            ready: Arc::new(move || !ready.is_draining()),
+            dump: Arc::new(move || dump.dump()),
+            drain: Arc::new(move || drain.drain()),
+        }
+    }
+
+    fn heartbeat(&self, peer: &Hello) -> Heartbeat {
+        let mut heartbeat = Heartbeat {
+            config_version: self.config_version().0,
+            confirmed_age_ms: self.config_age_ms(),
+            accepting: !self.is_draining(),
+            bills_logged_below: self.bills.logged_below(),
+            ..Heartbeat::default()
+        };
+        if !peer.backend.is_empty() {
+            heartbeat.backend_state = self.backend_state(&peer.backend).into();
+        }
+        heartbeat
+    }
+
+    /// Returns the state that configuration and host list give a backend server.
+    fn backend_state(&self, backend: &str) -> &'static str {
+        let Ok(id) = backend.parse::<BackendId>() else {
+            return "excluded";
+        };
+        match self.fleet().backends.get(&id).map(|rule| rule.state) {
+            None | Some(BackendMode::Active) => "active",
+            Some(BackendMode::Leaving) => "leaving",
+            Some(BackendMode::Excluded) => "excluded",
+        }
+    }
+
+    fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+        if link.peer().backend.is_empty() {
+            self.configuration.heard(link, heartbeat);
+            self.bills.heard(link.peer_incarnation(), heartbeat);
+        } else {
+            self.routes.heard(link, heartbeat);
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let (stream, remote) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    tokio::time::sleep(Duration::from_millis(LAST_BYTES_MS)).await;
+                    continue;
+                }
+            };
+            let endpoint = self.dialer.endpoint().clone();
+            let router = Arc::clone(&self);
+            tokio::spawn(async move {
+                match Link::accept(stream, remote, &endpoint).await {
+                    Ok(link) => router.watch_peer(link).await,
+                    Err(error) => log::debug!("{error}"),
+                }
+            });
+        }
+    }
+
+    /// Brings a peer's bills to the log when its connection ends and none takes its place.
+    async fn watch_peer(&self, link: Arc<Link>) {
+        let peer = link.peer_incarnation();
+        self.peers_seen.opened(peer);
+        link.closed().await;
+        self.peers_seen.closed(peer);
+        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        if !self.peers_seen.is_open(peer) {
+            self.bills.adopt_from_shelf(peer);
+        }
+    }
+
+    /// Keeps connections to the sidecars and routers that this router needs.
+    async fn follow_hosts(self: Arc<Self>) {
+        let mut hosts = self.hosts.clone();
+        let up = {
+            let router = Arc::clone(&self);
+            Arc::new(move |link: &Arc<Link>| router.link_up(link)) as Arc<dyn Fn(&_) + Send + Sync>
+        };
+        let down = {
+            let router = Arc::clone(&self);
+            Arc::new(move |link: &Arc<Link>| router.routes.down(link))
+                as Arc<dyn Fn(&_) + Send + Sync>
+        };
+        loop {
+            let list = Arc::clone(&hosts.borrow_and_update());
+            let mut wanted = sidecar_addresses(&self.settings.host, &list);
+            wanted.extend(witness_addresses(&self.settings.host, &list));
+            self.dialer.keep(&wanted, &up, &down);
+            if hosts.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn link_up(&self, link: &Arc<Link>) {
+        if !link.peer().backend.is_empty() {
+            self.routes.up(link);
+        }
+    }
+}
+
+fn watch_hosts(place: &HostSettings) -> watch::Receiver<Arc<HostList>> {
+    let (sender, receiver) = watch::channel(Arc::default());
+    let client = HostClient::new(place.host_list, HostClientSettings::default());
+    tokio::spawn(async move { client.watch(sender).await });
+    receiver
+}
+
+fn endpoint(
+    weak: &Weak<Router>,
+    settings: &RouterSettings,
+    incarnation: Incarnation,
+    address: SocketAddr,
+) -> Endpoint {
+    let beating = Weak::clone(weak);
+    let hearing = Weak::clone(weak);
+    let serving = Weak::clone(weak);
+    Endpoint {
+        hello: Hello {
+            incarnation: incarnation.0,
+            host: settings.host.name.to_string(),
+            zone: settings.host.zone.to_string(),
+            address: address.to_string(),
+            backend: String::new(),
+            service: String::new(),
+        },
+        settings: settings.timing.link(),
+        heartbeat: Arc::new(move |peer| match beating.upgrade() {
+            Some(router) => router.heartbeat(peer),
+            None => Heartbeat::default(),
+        }),
+        heard: Arc::new(move |link, heartbeat| {
+            if let Some(router) = hearing.upgrade() {
+                router.heard(link, &heartbeat);
+            }
+        }),
+        serve: Arc::new(move |body, responder| {
+            if let Some(router) = serving.upgrade() {
+                tokio::spawn(serve_call(router, body, responder));
+            }
+        }),
+    }
+}
+
+impl fmt::Debug for Router {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Router")
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/router_calls.rs
@@ -0,0 +1,55 @@
+//! Calls that other routers and sidecars open to a router.
+
+use crate::{
+    id::Offset,
+    link::Responder,
+    router::Router,
+    wire::{Body, CallFailed, Done},
+};
+use std::sync::Arc;
+
+/// Serves one call.
+pub(crate) async fn serve_call(router: Arc<Router>, body: Body, responder: Responder) {
+    let answer = match body {
+        Body::SliceRequest(request) => match request.read() {
+            Some(request) => match router.keep(&request).await {
+                Ok(reply) => Body::SliceReply(reply),
+                Err(error) => {
+                    log::warn!("{error}");
+                    failed("ledger_unavailable")
+                }
+            },
+            None => failed("bad_name"),
+        },
+        Body::SliceReturn(returned) => match returned.read() {
+            Some(returned) if router.keep_return(&returned).await => Body::Done(Done {}),
+            Some(_) => failed("slice_not_held"),
+            None => failed("bad_name"),
+        },
+        Body::KeepBills(keep) => {
+            if router.bills.keep_for_peer(&keep, responder.link()) {
+                Body::Done(Done {})
+            } else {
+                failed("bad_bills")
+            }
+        }
+        Body::FetchConfig(fetch) => {
+            Body::ConfigRecords(router.configuration.records(Offset(fetch.from)))
+        }
+        other => {
+            log::warn!(
+                "{} sent a call that a router does not serve",
+                responder.link().remote()
+            );
+            log::debug!("the call: {other:?}");
+            failed("not_served")
+        }
+    };
+    if !responder.send(answer).await {
+        log::debug!("{} was gone before its answer", responder.link().remote());
+    }
+}
+
+fn failed(code: &str) -> Body {
+    Body::CallFailed(CallFailed { code: code.into() })
+}
--- /dev/null
+++ b/crates/mallowpath/src/routes.rs
@@ -0,0 +1,230 @@
+//! The routing tables of a router, one for each service, kept up to date from its connections.
+
+use crate::{
+    backend::{Backend, BackendState, LoadReport},
+    id::{BackendId, HostId, ServiceId, Zone},
+    job::{Attempt, Job},
+    link::{Link, now_ms},
+    refusal::{Code, Refusal},
+    route::{RouteRequest, RouteSettings, RouteTable},
+    wire::Heartbeat,
+};
+use rand::random;
+use serde_json::{Value, json};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// The backend servers that a router is connected to.
+#[derive(Debug)]
+pub(crate) struct Routes {
+    zone: Zone,
+    settings: RouteSettings,
+    services: Mutex<HashMap<ServiceId, Service>>,
+}
+
+#[derive(Debug)]
+struct Service {
+    table: RouteTable,
+    links: HashMap<BackendId, Arc<Link>>,
+}
+
+impl Routes {
+    /// Makes empty tables for a router in `zone`.
+    pub(crate) fn new(zone: Zone, settings: RouteSettings) -> Self {
+        Self {
+            zone,
+            settings,
+            services: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Takes in a new connection to a sidecar.
+    pub(crate) fn up(&self, link: &Arc<Link>) {
+        let Some((service_id, backend_id)) = names(link) else {
+            log::warn!("{} names no backend server and service", link.remote());
+            return;
+        };
+        let peer = link.peer();
+        let (Ok(host), Ok(zone)) = (peer.host.parse::<HostId>(), peer.zone.parse::<Zone>()) else {
+            log::warn!("{} names no host and zone", link.remote());
+            return;
+        };
+        let mut services = self.services();
+        let service = services.entry(service_id).or_insert_with(|| Service {
+            table: RouteTable::new(self.zone.clone(), self.settings.clone()),
+            links: HashMap::new(),
+        });
+        service
+            .table
+            .insert(Backend::new(backend_id.clone(), host, zone));
+        if let Some(backend) = service.table.get_mut(&backend_id) {
+            // Work waits for the first heartbeat, which says whether the sidecar takes it.
+            backend.state = BackendState::Silent;
+        }
+        service.links.insert(backend_id, Arc::clone(link));
+    }
+
+    /// Takes in the end of a connection to a sidecar.
+    pub(crate) fn down(&self, link: &Arc<Link>) {
+        let Some((service_id, backend_id)) = names(link) else {
+            return;
+        };
+        let mut services = self.services();
+        let Some(service) = services.get_mut(&service_id) else {
+            return;
+        };
+        let current = service
+            .links
+            .get(&backend_id)
+            .is_some_and(|held| Arc::ptr_eq(held, link));
+        if !current {
+            return;
+        }
+        service.links.remove(&backend_id);
+        if let Some(backend) = service.table.get_mut(&backend_id) {
+            backend.state = BackendState::Silent;
+        }
+    }
+
+    /// Takes in a heartbeat of a sidecar.
+    pub(crate) fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+        let Some((service_id, backend_id)) = names(link) else {
+            return;
+        };
+        let mut services = self.services();
+        let Some(service) = services.get_mut(&service_id) else {
+            return;
+        };
+        if !service.links.contains_key(&backend_id) {
+            return;
+        }
+        let Some(backend) = service.table.get_mut(&backend_id) else {
+            return;
+        };
+        let ejected = matches!(backend.state, BackendState::Ejected { .. });
+        if !heartbeat.accepting {
+            backend.state = BackendState::Leaving;
+        } else if !ejected {
+            backend.state = BackendState::Live;
+        }
+        let Some(load) = heartbeat.load else { return };
+        backend.report(LoadReport {
+            running: u64::from(load.running),
+            waiting: u64::from(load.waiting),
+            kv_used_tokens: load.kv_used_tokens,
+            kv_total_tokens: load.kv_total_tokens,
+            at_ms: now_ms().saturating_sub(load.age_ms),
+        });
+    }
+
+    /// Chooses a backend server that was not tried yet.
+    pub(crate) fn choose(
+        &self,
+        job: &Job,
+        tried: &[BackendId],
+    ) -> Result<(BackendId, Arc<Link>), Refusal> {
+        let now_ms = now_ms();
+        let services = self.services();
+        let Some(service) = services.get(&job.service.id) else {
+            return Err(no_backend(job, self.settings.retry_after_ms));
+        };
+        let request = RouteRequest {
+            prefix_hashes: &job.prefix_hashes,
+            adapter: job.adapter.as_deref(),
+            prompt_tokens: job.prompt_tokens,
+            cap_tokens: job.cap_tokens,
+            priority: job.workspace.priority,
+            exclude: tried,
+        };
+        let choice = match service.table.choose(&request, now_ms, random()) {
+            Ok(choice) => choice,
+            Err(none) => return Err(no_backend(job, none.retry_after_ms)),
+        };
+        match service.links.get(&choice.backend.id) {
+            Some(link) => Ok((choice.backend.id.clone(), Arc::clone(link))),
+            None => Err(no_backend(job, self.settings.retry_after_ms)),
+        }
+    }
+
+    /// Counts a request that was just submitted.
+    pub(crate) fn submitted(&self, job: &Job, backend: &BackendId, submitted_at_ms: u64) {
+        self.with(&job.service.id, backend, |backend| {
+            backend.submitted(&job.prefix_hashes, submitted_at_ms);
+            if let Some(adapter) = &job.adapter {
+                backend.adapters.insert(Arc::clone(adapter));
+            }
+        });
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn ended(&self, job: &Job, attempt: &Attempt, first_chunk_ms: Option<u64>) {
+        let now_ms = now_ms();
+        self.with(&job.service.id, &attempt.backend, |backend| {
+            if let Some(first_chunk_ms) = first_chunk_ms {
+                let load_before = backend.load(now_ms);
+                backend.first_token(first_chunk_ms, 0.0, load_before, now_ms);
+            }
+            backend.ended(attempt.submitted_at_ms, now_ms);
+        });
+    }
+
+    /// Describes the tables for a dump.
+    pub(crate) fn dump(&self) -> Value {
+        let now_ms = now_ms();
+        let mut dump = serde_json::Map::new();
+        for (service_id, service) in self.services().iter() {
+            let mut backends = Vec::new();
+            for backend in service.table.backends() {
+                backends.push(json!({
+                    "backend": backend.id,
+                    "zone": backend.zone,
+                    "state": format!("{:?}", backend.state),
+                    "own_in_flight": backend.own_in_flight(),
+                    "load": backend.load(now_ms),
+                    "connected": service.links.contains_key(&backend.id),
+                }));
+            }
+            dump.insert(service_id.to_string(), Value::Array(backends));
+        }
+        Value::Object(dump)
+    }
+
+    /// Returns the number of backend servers that take work.
+    pub(crate) fn taking_work(&self) -> usize {
+        let now_ms = now_ms();
+        let mut count = 0;
+        for service in self.services().values() {
+            for backend in service.table.backends() {
+                count += usize::from(backend.takes_work(now_ms));
+            }
+        }
+        count
+    }
+
+    fn with(&self, service: &ServiceId, backend: &BackendId, change: impl FnOnce(&mut Backend)) {
+        let mut services = self.services();
+        let Some(service) = services.get_mut(service) else {
+            return;
+        };
+        if let Some(backend) = service.table.get_mut(backend) {
+            change(backend);
+        }
+    }
+
+    fn services(&self) -> MutexGuard<'_, HashMap<ServiceId, Service>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn names(link: &Link) -> Option<(ServiceId, BackendId)> {
+    let peer = link.peer();
+    Some((peer.service.parse().ok()?, peer.backend.parse().ok()?))
+}
+
+#[cold]
+fn no_backend(job: &Job, retry_after_ms: u64) -> Refusal {
+    let text = format!("no backend server of {} takes work", job.service.id);
+    Refusal::not_run(Code::NoBackend, text).after(retry_after_ms)
+}
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -6,8 +6,8 @@
 use crate::{
     id::{BackendId, HostId, Region, ServiceId, Zone},
     ini::IniDocument,
-    link::LinkSettings,
     issue::{Issue, IssueReport, nearest},
+    link::LinkSettings,
     section::{Reader, Section, sections_of},
 };
 use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc};
--- /dev/null
+++ b/crates/mallowpath/src/sidecar.rs
@@ -0,0 +1,437 @@
+//! The process beside a backend server, and the only way to it.
+//!
+//! Lock order: `runs`, then `bills`, then `state`; no other lock is held with them.
+
+use crate::{
+    admin::{Hooks, bind, serve_admin},
+    bill::BillBatch,
+    bill_book::BillWatermark,
+    bill_shelf::BillShelf,
+    bills::LOST_ROUTER_MS,
+    engine::Engine,
+    error::Result,
+    id::{Incarnation, RequestId},
+    link::{Endpoint, Link, now_ms},
+    load_poll::poll_load,
+    run::{RunSettings, RunTable},
+    running::Running,
+    seen::PeersSeen,
+    settings::SidecarSettings,
+    sidecar_calls::serve_call,
+    wire::{Body, End, Head, Heartbeat, Hello, KeepBills, Load},
+};
+use prost::Message;
+use serde_json::{Value, json};
+use std::{
+    collections::HashMap,
+    fmt::{self, Display},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{net::TcpListener, sync::Notify};
+use tokio_util::sync::CancellationToken;
+
+const TICK_MS: u64 = 200;
+const ASK_MS: u64 = 1000;
+/// How long a draining sidecar keeps bills for their routers to log.
+const DRAIN_BILLS_MS: u64 = 15_000;
+
+/// The state of a sidecar, shared by its tasks.
+pub struct Sidecar {
+    pub(crate) settings: SidecarSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) engine: Engine,
+    pub(crate) running: Running,
+    runs: Mutex<Runs>,
+    bills: Mutex<BillShelf>,
+    links: Mutex<Vec<Arc<Link>>>,
+    routers_seen: PeersSeen,
+    state: Mutex<State>,
+    draining: AtomicBool,
+    /// Cancelled when the process may end.
+    pub(crate) ended: CancellationToken,
+}
+
+/// The run table with what its tasks need beside it.
+#[derive(Debug)]
+pub(crate) struct Runs {
+    pub(crate) table: RunTable,
+    pub(crate) signals: HashMap<RequestId, Arc<Signal>>,
+}
+
+/// How tasks that wait for a run hear of it.
+#[derive(Debug, Default)]
+pub(crate) struct Signal {
+    /// Told of each chunk and of the end.
+    pub(crate) changed: Notify,
+    /// Cancelled to stop the run.
+    pub(crate) stop: CancellationToken,
+    /// Status and content type, once the backend server sent them.
+    pub(crate) head: OnceLock<Head>,
+    /// The end, once there is one.
+    end: Mutex<Option<End>>,
+}
+
+/// What a sidecar knows about its backend server.
+#[derive(Debug, Default)]
+struct State {
+    load: Option<(Load, u64)>,
+    config_version: u64,
+    /// When the newest configuration was known to be the newest, on this process's clock.
+    confirmed_at_ms: Option<u64>,
+    /// The state that the configuration gives the backend server.
+    told: Arc<str>,
+}
+
+/// The addresses at which a sidecar listens.
+#[derive(Debug, Clone, Copy)]
+pub struct SidecarAddresses {
+    /// For routers.
+    pub peers: SocketAddr,
+    /// For operators and the platform.
+    pub admin: SocketAddr,
+}
+
+impl Display for SidecarAddresses {
+    /// Writes one line of JSON, as the process prints it when it is up.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { peers, admin } = self;
+        write!(f, r#"{{"peers":"{peers}","admin":"{admin}"}}"#)
+    }
+}
+
+impl Sidecar {
+    /// Starts the process and returns it with the addresses at which it listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be bound or the log service can't be read.
+    pub async fn start(settings: SidecarSettings) -> Result<(Arc<Self>, SidecarAddresses)> {
+        let (listener, address) = bind(settings.host.peer_listen, "listen for routers").await?;
+        let incarnation = Incarnation::random();
+        let run_settings = RunSettings {
+            max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
+            ..RunSettings::default()
+        };
+        let sidecar = Arc::new(Self {
+            incarnation,
+            engine: Engine::new(settings.backend_address),
+            running: Running::default(),
+            runs: Mutex::new(Runs {
+                table: RunTable::new(incarnation, run_settings, []),
+                signals: HashMap::new(),
+            }),
+            bills: Mutex::new(BillShelf::default()),
+            links: Mutex::new(Vec::new()),
+            routers_seen: PeersSeen::default(),
+            state: Mutex::new(State::default()),
+            draining: AtomicBool::new(false),
+            ended: CancellationToken::new(),
+            settings,
+        });
+        let admin = serve_admin(sidecar.settings.host.admin_listen, sidecar.hooks()).await?;
+        let endpoint = sidecar.endpoint(address);
+        tokio::spawn(Arc::clone(&sidecar).accept(listener, endpoint));
+        tokio::spawn(Arc::clone(&sidecar).tick());
+        tokio::spawn(poll_load(Arc::clone(&sidecar)));
+        log::info!(
+            "sidecar {incarnation} of {} takes connections at {address}",
+            { &sidecar.settings.backend }
+        );
+        Ok((
+            sidecar,
+            SidecarAddresses {
+                peers: address,
+                admin,
+            },
+        ))
+    }
+
+    /// Refuses new work from now on and ends the process's task once nothing runs.
+    pub fn drain(self: &Arc<Self>) {
+        if self.draining.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        log::info!("draining, {} runs go on", self.running.count());
+        self.runs().table.leave();
+        let sidecar = Arc::clone(self);
+        tokio::spawn(async move {
+            sidecar.running.idle().await;
+            sidecar.wait_for_bills().await;
+            log::info!("drained");
+            sidecar.ended.cancel();
+        });
+    }
+
+    /// Waits until the process has drained.
+    pub async fn drained(&self) {
+        self.ended.cancelled().await;
+    }
+
+    /// Returns whether the sidecar takes new work.
+    pub fn accepting(&self) -> bool {
+        if self.draining.load(Ordering::Relaxed) {
+            return false;
+        }
+        let state = self.state();
+        if &*state.told == "leaving" || &*state.told == "excluded" {
+            return false;
+        }
+        let limit_ms = self.settings.tuning.unconfirmed_after_ms;
+        match state.confirmed_at_ms {
+            Some(at_ms) => now_ms().saturating_sub(at_ms) <= limit_ms,
+            None => true,
+        }
+    }
+
+    /// Describes the whole state.
+    pub fn dump(&self) -> Value {
+        let mut runs = Vec::new();
+        let (running, kept_bytes) = {
+            let held = self.runs();
+            for (id, signal) in &held.signals {
+                runs.push(json!({"request": id, "ended": signal.ended().is_some()}));
+            }
+            (held.table.running(), held.table.kept_bytes())
+        };
+        let bills = self.bills().count();
+        let state = self.state();
+        json!({
+            "role": "sidecar",
+            "host": self.settings.host.name,
+            "zone": self.settings.host.zone,
+            "incarnation": self.incarnation,
+            "backend": self.settings.backend,
+            "service": self.settings.service,
+            "draining": self.draining.load(Ordering::Relaxed),
+            "running": running,
+            "kept_bytes": kept_bytes,
+            "runs": runs,
+            "bills_kept": bills,
+            "config_version": state.config_version,
+            "backend_state": state.told,
+            "confirmed_age_ms": state.confirmed_at_ms.map(|at_ms| now_ms().saturating_sub(at_ms)),
+        })
+    }
+
+    /// Hands a router's bills over when its connection ends and none takes its place.
+    async fn watch_router(&self, link: Arc<Link>) {
+        let router = link.peer_incarnation();
+        self.routers_seen.opened(router);
+        self.links().push(Arc::clone(&link));
+        link.closed().await;
+        self.links().retain(|held| !Arc::ptr_eq(held, &link));
+        self.routers_seen.closed(router);
+        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        while !self.routers_seen.is_open(router) && !self.hand_over_bills(router).await {
+            tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        }
+    }
+
+    /// Asks another router to log the bills kept for a lost one; returns whether none is left.
+    async fn hand_over_bills(&self, router: Incarnation) -> bool {
+        let bills = self.bills().handover(router);
+        if bills.is_empty() {
+            return true;
+        }
+        let mut batch = BillBatch::default();
+        for bill in &bills {
+            batch.bills.push(bill.to_record());
+        }
+        let keep = KeepBills {
+            batch: batch.encode_to_vec().into(),
+            adopt: true,
+        };
+        let others = self.links().clone();
+        for link in others {
+            if link.peer_incarnation() == router {
+                continue;
+            }
+            let asked = link.ask(Body::KeepBills(keep.clone()), Duration::from_millis(ASK_MS));
+            if let Ok(Body::Done(_)) = asked.await {
+                log::info!(
+                    "{} logs {} bills of {router}",
+                    link.peer().host,
+                    bills.len()
+                );
+                break;
+            }
+        }
+        false
+    }
+
+    /// Waits until routers have logged every bill kept here, or took over what is left.
+    async fn wait_for_bills(&self) {
+        let give_up = now_ms() + DRAIN_BILLS_MS;
+        while self.bills().count() > 0 && now_ms() < give_up {
+            tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        }
+        if self.bills().count() > 0 {
+            log::warn!(
+                "ending with {} bills that routers still hold",
+                self.bills().count()
+            );
+        }
+    }
+
+    fn links(&self) -> MutexGuard<'_, Vec<Arc<Link>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn runs(&self) -> MutexGuard<'_, Runs> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn bills(&self) -> MutexGuard<'_, BillShelf> {
+        self.bills.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in a load report of the backend server.
+    pub(crate) fn set_load(&self, load: Load) {
+        self.state().load = Some((load, now_ms()));
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn hooks(self: &Arc<Self>) -> Hooks {
+        let ready = Arc::clone(self);
+        let dump = Arc::clone(self);
+        let drain = Arc::clone(self);
+        Hooks {
+            ready: Arc::new(move || ready.accepting()),
+            dump: Arc::new(move || dump.dump()),
+            drain: Arc::new(move || drain.drain()),
+        }
+    }
+
+    fn endpoint(self: &Arc<Self>, address: SocketAddr) -> Endpoint {
+        let beating = Arc::clone(self);
+        let hearing = Arc::clone(self);
+        let serving = Arc::clone(self);
+        Endpoint {
+            hello: Hello {
+                incarnation: self.incarnation.0,
+                host: self.settings.host.name.to_string(),
+                zone: self.settings.host.zone.to_string(),
+                address: address.to_string(),
+                backend: self.settings.backend.to_string(),
+                service: self.settings.service.to_string(),
+            },
+            settings: self.settings.timing.link(),
+            heartbeat: Arc::new(move |_| beating.heartbeat()),
+            heard: Arc::new(move |link, heartbeat| hearing.heard(link, &heartbeat)),
+            serve: Arc::new(move |body, responder| {
+                tokio::spawn(serve_call(Arc::clone(&serving), body, responder));
+            }),
+        }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let accepting = self.accepting();
+        let state = self.state();
+        let load = state.load.map(|(load, at_ms)| Load {
+            age_ms: load.age_ms + now_ms().saturating_sub(at_ms),
+            ..load
+        });
+        Heartbeat {
+            config_version: state.config_version,
+            accepting,
+            load,
+            ..Heartbeat::default()
+        }
+    }
+
+    /// Learns the newest configuration that any router knows, and how fresh it is.
+    fn heard(&self, link: &Link, heartbeat: &Heartbeat) {
+        self.bills().logged_below(BillWatermark {
+            router: link.peer_incarnation(),
+            logged_below: heartbeat.bills_logged_below,
+        });
+        let mut state = self.state();
+        if heartbeat.config_version < state.config_version {
+            return;
+        }
+        if heartbeat.config_version > state.config_version
+            || &*state.told != heartbeat.backend_state.as_str()
+        {
+            log::info!(
+                "{} reports configuration {}, backend server {:?}",
+                link.remote(),
+                heartbeat.config_version,
+                heartbeat.backend_state
+            );
+            state.config_version = heartbeat.config_version;
+            state.told = Arc::from(heartbeat.backend_state.as_str());
+        }
+        let confirmed_at_ms = now_ms().saturating_sub(heartbeat.confirmed_age_ms);
+        state.confirmed_at_ms = state.confirmed_at_ms.max(Some(confirmed_at_ms));
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener, endpoint: Endpoint) {
+        loop {
+            let (stream, remote) = match listener.accept().await {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+                    continue;
+                }
+            };
+            let sidecar = Arc::clone(&self);
+            let endpoint = endpoint.clone();
+            tokio::spawn(async move {
+                match Link::accept(stream, remote, &endpoint).await {
+                    Ok(link) => sidecar.watch_router(link).await,
+                    Err(error) => log::debug!("{error}"),
+                }
+            });
+        }
+    }
+
+    /// Cancels runs that no router waits for and forgets old answers.
+    async fn tick(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+            let mut runs = self.runs();
+            let now_ms = now_ms();
+            runs.table.forget_ended(now_ms);
+            for id in runs.table.take_orphans(now_ms) {
+                log::warn!("no router waits for {id}, stopping it");
+                if let Some(signal) = runs.signals.get(&id) {
+                    signal.stop.cancel();
+                }
+            }
+            let Runs { table, signals } = &mut *runs;
+            signals.retain(|id, _| table.holds(*id));
+        }
+    }
+}
+
+impl Signal {
+    /// Returns the end of the run, once there is one.
+    pub(crate) fn ended(&self) -> Option<End> {
+        self.end
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Keeps the end of the run.
+    pub(crate) fn set_end(&self, end: End) {
+        *self.end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
+    }
+}
+
+impl fmt::Debug for Sidecar {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Sidecar")
+            .field("incarnation", &self.incarnation)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -0,0 +1,326 @@
+//! Calls that routers open to a sidecar.
+
+use crate::{
+    bill::Bill,
+    engine::Part,
+    id::{Incarnation, RequestId, Tokens},
+    job::bill_outcome,
+    key::KeyHash,
+    link::{Responder, now_ms},
+    run::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
+    sidecar::{Sidecar, Signal},
+    wallet::SlicePart,
+    wire::{
+        self, Attach, BillsLogged, Body, CallFailed, Chunk, Done, End, Fence, Fenced, Refused,
+        Stop, Submit,
+    },
+};
+use std::sync::Arc;
+
+/// Serves one call.
+pub(crate) async fn serve_call(sidecar: Arc<Sidecar>, body: Body, responder: Responder) {
+    match body {
+        Body::Submit(submit) => serve_submit(sidecar, submit, responder).await,
+        Body::Attach(attach) => serve_attach(&sidecar, &attach, &responder).await,
+        Body::Stop(stop) => serve_stop(&sidecar, &stop, &responder).await,
+        Body::Fence(fence) => serve_fence(&sidecar, &fence, &responder).await,
+        Body::BillsLogged(logged) => {
+            sidecar.bills_logged(&logged);
+            answer(&responder, Body::Done(Done {})).await;
+        }
+        other => {
+            log::warn!(
+                "{} sent a call that a sidecar does not serve",
+                responder.link().remote()
+            );
+            log::debug!("the call: {other:?}");
+            let failed = CallFailed {
+                code: "not_served".into(),
+            };
+            answer(&responder, Body::CallFailed(failed)).await;
+        }
+    }
+}
+
+async fn serve_submit(sidecar: Arc<Sidecar>, submit: Submit, responder: Responder) {
+    let id = RequestId::from(submit.request);
+    let decision = {
+        // One lock over the check and the entry, so that a drain that follows sees the run.
+        let accepting = sidecar.accepting();
+        let mut runs = sidecar.runs();
+        let decision = if accepting {
+            runs.table.submit(&run_submit(&submit))
+        } else {
+            SubmitAnswer::Leaving
+        };
+        if decision == SubmitAnswer::Start {
+            runs.signals.insert(id, Arc::default());
+            let running = sidecar.running.enter();
+            let sidecar = Arc::clone(&sidecar);
+            tokio::spawn(async move {
+                run(&sidecar, id, submit).await;
+                drop(running);
+            });
+        }
+        decision
+    };
+    let (code, retry_after_ms) = match decision {
+        SubmitAnswer::Start => {
+            forward(&sidecar, id, 0, &responder).await;
+            sidecar.runs().table.detach(id, now_ms());
+            return;
+        }
+        SubmitAnswer::AlreadyRunning => {
+            let attach = Attach {
+                request: id.into(),
+                from_chunk: 0,
+                sidecar: sidecar.incarnation.0,
+            };
+            return serve_attach(&sidecar, &attach, &responder).await;
+        }
+        SubmitAnswer::Forgotten => {
+            let failed = CallFailed {
+                code: "forgotten".into(),
+            };
+            return answer(&responder, Body::CallFailed(failed)).await;
+        }
+        SubmitAnswer::Tombstoned => ("tombstoned", 0),
+        SubmitAnswer::Fenced(_) => ("fenced", 0),
+        SubmitAnswer::Leaving => ("leaving", 0),
+        SubmitAnswer::OtherIncarnation => ("other_incarnation", 0),
+        SubmitAnswer::Full { retry_after_ms } => ("full", retry_after_ms),
+    };
+    answer(
+        &responder,
+        Body::Refused(Refused {
+            code: code.into(),
+            retry_after_ms,
+        }),
+    )
+    .await;
+}
+
+fn run_submit(submit: &Submit) -> RunSubmit {
+    let mut key = None;
+    if let Ok(hash) = <[u8; 16]>::try_from(submit.key.as_ref()) {
+        key = Some(RunKey {
+            hash: KeyHash(hash),
+            owner: Incarnation(submit.key_owner),
+        });
+    }
+    RunSubmit {
+        id: submit.request.into(),
+        sidecar: Incarnation(submit.sidecar),
+        lowest_open: submit.lowest_open,
+        key,
+        tombstone_on_refusal: key.is_some(),
+    }
+}
+
+/// Runs a request at the backend server and keeps its answer and its bill.
+async fn run(sidecar: &Arc<Sidecar>, id: RequestId, submit: Submit) {
+    let Some(signal) = sidecar.runs().signals.get(&id).map(Arc::clone) else {
+        return;
+    };
+    let name = id.to_string();
+    let mut chunks = 0;
+    let emit = |part| {
+        match part {
+            Part::Head(head) => drop(signal.head.set(head)),
+            Part::Data(data) => {
+                sidecar.runs().table.push_chunk(id, data);
+                chunks += 1;
+            }
+        }
+        signal.changed.notify_waiters();
+    };
+    let mut end = sidecar.engine.run(&submit, &name, &signal.stop, emit).await;
+    end.chunks = chunks;
+    let bill = bill(id, &submit, &end);
+    // A run that failed before it cost anything may be repeated elsewhere under the same identifier.
+    if bill.amount() > Tokens::ZERO || end.whole {
+        sidecar.bills().keep(bill);
+    }
+    let run_end = if end.whole {
+        RunEnd::Complete
+    } else {
+        RunEnd::Cut
+    };
+    signal.set_end(end);
+    sidecar.runs().table.end(id, run_end, now_ms());
+    signal.changed.notify_waiters();
+}
+
+fn bill(id: RequestId, submit: &Submit, end: &End) -> Bill {
+    Bill {
+        request: id,
+        workspace: submit.workspace.parse().expect("the router sends names"),
+        budget: submit.budget.parse().expect("the router sends names"),
+        parts: reserved_parts(&submit.parts),
+        prompt_tokens: Tokens(end.prompt_tokens),
+        completion_tokens: Tokens(end.completion_tokens),
+        outcome: bill_outcome(end),
+    }
+    .charged()
+}
+
+fn reserved_parts(parts: &[wire::SlicePart]) -> Vec<SlicePart> {
+    let mut reserved = Vec::with_capacity(parts.len());
+    for part in parts {
+        reserved.push(SlicePart {
+            slice: part.slice.into(),
+            grant: part.grant.into(),
+            tokens: Tokens(part.tokens),
+        });
+    }
+    reserved
+}
+
+async fn serve_attach(sidecar: &Arc<Sidecar>, attach: &Attach, responder: &Responder) {
+    let id = RequestId::from(attach.request);
+    if Incarnation(attach.sidecar) != sidecar.incarnation {
+        let failed = CallFailed {
+            code: "other_incarnation".into(),
+        };
+        return answer(responder, Body::CallFailed(failed)).await;
+    }
+    let attached = sidecar.runs().table.attach(id, usize::MAX);
+    match attached {
+        AttachAnswer::Chunks { .. } => {
+            forward(sidecar, id, attach.from_chunk, responder).await;
+            sidecar.runs().table.detach(id, now_ms());
+        }
+        AttachAnswer::Never => {
+            let refused = Refused {
+                code: "never_ran".into(),
+                retry_after_ms: 0,
+            };
+            answer(responder, Body::Refused(refused)).await;
+        }
+        AttachAnswer::Forgotten => {
+            let failed = CallFailed {
+                code: "forgotten".into(),
+            };
+            answer(responder, Body::CallFailed(failed)).await;
+        }
+    }
+}
+
+/// Sends an answer from a chunk on until its end, or until the router gives the call up.
+async fn forward(sidecar: &Arc<Sidecar>, id: RequestId, from_chunk: u64, responder: &Responder) {
+    let Some(signal) = sidecar.runs().signals.get(&id).map(Arc::clone) else {
+        return;
+    };
+    let mut next = from_chunk;
+    let mut head_sent = false;
+    loop {
+        let changed = signal.changed.notified();
+        // The end is read before the chunks, so that no chunk behind it is missed.
+        let end = signal.ended();
+        if let Some(head) = signal.head.get()
+            && !head_sent
+        {
+            head_sent = true;
+            if !responder.send(Body::Head(head.clone())).await {
+                return;
+            }
+        }
+        let first = usize::try_from(next).unwrap_or(usize::MAX);
+        let chunks = sidecar.runs().table.chunks_from(id, first);
+        let waited = chunks.is_empty();
+        for data in chunks {
+            let chunk = Chunk { index: next, data };
+            if !responder.send(Body::Chunk(chunk)).await {
+                return;
+            }
+            next += 1;
+        }
+        if let Some(end) = end {
+            responder.send(Body::End(end)).await;
+            return;
+        }
+        if !waited {
+            continue;
+        }
+        tokio::select! {
+            () = changed => {}
+            () = responder.cancelled() => return,
+        }
+    }
+}
+
+async fn serve_stop(sidecar: &Arc<Sidecar>, stop: &Stop, responder: &Responder) {
+    let id = RequestId::from(stop.request);
+    let (attached, signal) = {
+        let mut runs = sidecar.runs();
+        let attached = runs.table.attach(id, usize::MAX);
+        (attached, runs.signals.get(&id).map(Arc::clone))
+    };
+    let (AttachAnswer::Chunks { .. }, Some(signal)) = (&attached, signal) else {
+        if attached == AttachAnswer::Never {
+            let refused = Refused {
+                code: "never_ran".into(),
+                retry_after_ms: 0,
+            };
+            return answer(responder, Body::Refused(refused)).await;
+        }
+        let failed = CallFailed {
+            code: "forgotten".into(),
+        };
+        return answer(responder, Body::CallFailed(failed)).await;
+    };
+    signal.stop.cancel();
+    let end = signal.wait_for_end().await;
+    answer(responder, Body::End(end)).await;
+    sidecar.runs().table.detach(id, now_ms());
+}
+
+async fn serve_fence(sidecar: &Arc<Sidecar>, fence: &Fence, responder: &Responder) {
+    let incarnation = Incarnation(fence.incarnation);
+    let idle = {
+        let mut runs = sidecar.runs();
+        for id in runs.table.fence(incarnation) {
+            if let Some(signal) = runs.signals.get(&id) {
+                signal.stop.cancel();
+            }
+        }
+        runs.table.fence_done(incarnation)
+    };
+    answer(
+        responder,
+        Body::Fenced(Fenced {
+            idle,
+            billed: Vec::new(),
+        }),
+    )
+    .await;
+}
+
+/// Sends the one answer of a call; a peer that is gone asks again.
+async fn answer(responder: &Responder, body: Body) {
+    if !responder.send(body).await {
+        log::debug!("{} was gone before its answer", responder.link().remote());
+    }
+}
+
+impl Sidecar {
+    fn bills_logged(&self, logged: &BillsLogged) {
+        let mut bills = self.bills();
+        for request in &logged.requests {
+            bills.logged((*request).into());
+        }
+    }
+}
+
+impl Signal {
+    /// Waits for the end of the run.
+    async fn wait_for_end(&self) -> End {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(end) = self.ended() {
+                return end;
+            }
+            changed.await;
+        }
+    }
+}
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -302,7 +302,9 @@
 
     /// Returns whether no slice is held.
     pub fn is_empty(&self) -> bool {
-        self.accounts.values().all(|account| account.slices.is_empty())
+        self.accounts
+            .values()
+            .all(|account| account.slices.is_empty())
     }
 
     /// Stops spending for good, once this incarnation is known to be fenced.
--- a/crates/mallowpath/tests/change.rs
+++ b/crates/mallowpath/tests/change.rs
@@ -1,8 +1,9 @@
 //! Replay of the configuration stream under racing publishers, repeated appends and checkpoints.
 
 use mallowpath::{
-    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, Delta, Fleet,
-    IniDocument, Offset, ReplayError, Sections, ConfigVerdict, Version, ConfigVoid, diff, sections_of,
+    Change, ChangeId, ConfigEntry, ConfigLoader, ConfigRecord, ConfigState, ConfigVerdict,
+    ConfigVoid, Delta, Fleet, IniDocument, Offset, ReplayError, Sections, Version, diff,
+    sections_of,
 };
 use proptest::{
     collection::vec,
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -32,7 +32,7 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    if let Err(error) = start_logging(settings.name.as_str(), arguments.log_level) {
+    if let Err(error) = start_logging(settings.host.name.as_str(), arguments.log_level) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -1,7 +1,7 @@
 //! The platform's host list, which shows edits after a lag.
 
 use crate::{
-    Outage,
+    Outage, client,
     server::{self, Live},
 };
 use axum::{
@@ -114,6 +114,33 @@
     server::start(listen, settings, router).await
 }
 
+/// Enters a host into the list at `address`, as the platform does.
+///
+/// # Errors
+///
+/// Fails when the list does not take it.
+pub async fn enter(address: SocketAddr, host: &Host) -> io::Result<()> {
+    let path = format!("PUT /v1/hosts/{}", host.name);
+    edit_list(address, &path, &json!(host).to_string()).await
+}
+
+/// Removes a host from the list at `address`.
+///
+/// # Errors
+///
+/// Fails when the list does not take it.
+pub async fn drop_out(address: SocketAddr, name: &str) -> io::Result<()> {
+    edit_list(address, &format!("DELETE /v1/hosts/{name}"), "").await
+}
+
+async fn edit_list(address: SocketAddr, method_path: &str, body: &str) -> io::Result<()> {
+    match client::call(address, method_path, &[], body).await {
+        Ok(answer) if answer.status < 300 => Ok(()),
+        Ok(answer) => Err(io::Error::other(answer.text)),
+        Err(error) => Err(io::Error::other(error)),
+    }
+}
+
 async fn read(State(service): State<Arc<Service>>, Query(query): Query<ListQuery>) -> Response {
     let outage = service.settings.get().outage;
     if let Some(answer) = outage.answer().await {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! running stand-in changes its settings through its handle or by `POST /control` with a JSON
 //! object of the fields to change.
 
+pub mod client;
 pub mod engine;
 mod engine_api;
 mod engine_batch;
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -1,11 +1,6 @@
-//! A small HTTP client for the tests of the stand-ins.
+//! Short forms of the client for the tests of the stand-ins.
 
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, body::Bytes};
-use hyper_util::{
-    client::legacy::{Client, Error},
-    rt::TokioExecutor,
-};
+use mallowpath_standins::client;
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -15,20 +10,10 @@
     method_path: &str,
     id: &str,
     body: &str,
-) -> Result<(u16, String), Error> {
-    let (method, path) = method_path.split_once(' ').unwrap();
-    let request = Request::builder()
-        .method(method)
-        .uri(format!("http://{address}{path}"))
-        .header("content-type", "application/json")
-        .header("x-request-id", id)
-        .body(Full::new(Bytes::from(body.to_owned())))
-        .unwrap();
-    let client = Client::builder(TokioExecutor::new()).build_http();
-    let response = client.request(request).await?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.unwrap().to_bytes();
-    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+) -> Result<(u16, String), hyper_util::client::legacy::Error> {
+    let answer = client::call(address, method_path, &[("x-request-id", id)], body).await?;
+    assert!(answer.whole, "the answer broke off");
+    Ok((answer.status, answer.text))
 }
 
 /// Makes a call whose answer is JSON.
