--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,14 +1,18 @@
 //! Router fleet for prepaid token budgets.
 
 mod change;
+mod backoff;
+mod error;
 mod fleet;
 mod fleet_check;
 mod fleet_read;
+mod http_call;
 mod id;
 mod ini;
 mod issue;
 mod propagate;
 mod replay;
+mod log_client;
 mod section;
 mod settings;
 
@@ -16,6 +20,8 @@
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use backoff::Backoff;
+pub use error::{Category, Error, Result};
 pub use fleet::{
     Backend, BackendState, Budget, Fleet, FleetRules, KeyHash, Service, ServiceKind, Services,
     WhenUnconfirmed, Workspace,
@@ -29,6 +35,7 @@
 pub use issue::{Issue, IssueReport, Place};
 pub use propagate::{ConfigHeartbeat, Propagation};
 pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
+pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use section::{Section, SectionName, Sections, sections_of};
 pub use settings::{
     HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
