--- a/crates/mallowpath/src/fleet_read.rs
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -73,6 +73,21 @@
         }
     }
 
+    /// Returns every key that sections of a kind may have; none for an unknown kind.
+    pub fn keys(kind: &str) -> Vec<&'static str> {
+        let section = Section {
+            kind: Arc::from(kind),
+            name: Arc::from("x"),
+            entries: BTreeMap::new(),
+        };
+        read_section(
+            &mut Self::default(),
+            &section.section_name(),
+            &section,
+            &mut Vec::new(),
+        )
+    }
+
     /// Checks a configuration that differs from this one in the `changed` sections.
     ///
     /// The result is that of [`Fleet::from_sections`], at a cost that is mostly that of the change.
@@ -148,7 +163,13 @@
     table.remove(&id);
 }
 
-fn read_section(fleet: &mut Fleet, name: &SectionName, section: &Section, issues: &mut Vec<Issue>) {
+/// Reads a section into the fleet and returns the keys that its kind may have.
+fn read_section(
+    fleet: &mut Fleet,
+    name: &SectionName,
+    section: &Section,
+    issues: &mut Vec<Issue>,
+) -> Vec<&'static str> {
     if !KINDS.contains(&&*section.kind) {
         let mut issue = Issue::new(
             &name.to_string(),
@@ -157,7 +178,8 @@
             &format!("a section of kind {}", KINDS.join(", ")),
         );
         issue.hint = nearest(&section.kind, &KINDS);
-        return issues.push(issue);
+        issues.push(issue);
+        return Vec::new();
     }
     let mut reader = Reader::new(section, issues);
     match &*section.kind {
@@ -167,7 +189,7 @@
         "service" => read_service(fleet, &section.name, &mut reader),
         _ => read_backend(fleet, &section.name, &mut reader),
     }
-    reader.finish();
+    reader.finish()
 }
 
 fn read_rules(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
--- a/crates/mallowpath/tests/config.rs
+++ b/crates/mallowpath/tests/config.rs
@@ -132,3 +132,18 @@
         20.ini:18: [fleet x] is wrong: expected the section [fleet], without a name
         20.ini:19: [fleet x] leave_within_ms = "9s": expected a whole number from 0 to 5000, such as 1_000, 5k or 2M"#]].assert_eq(&report);
 }
+
+#[test]
+fn the_page_names_every_key_of_each_section() {
+    let page = include_str!("../../../docs/CONFIGURATION.md");
+    let mut kinds = 0;
+    for part in page.split("\n## `[").skip(1) {
+        let kind = part.split([' ', ']']).next().expect("a kind of section");
+        let rows = part
+            .lines()
+            .filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+        assert_eq!(rows.collect::<Vec<_>>(), Fleet::keys(kind), "{kind}");
+        kinds += 1;
+    }
+    assert_eq!(kinds, 5);
+}
