--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -22,6 +22,8 @@
 mod engine;
 mod error;
 mod estimate;
+mod change;
+mod error;
 mod fleet;
 mod fleet_check;
 mod fleet_read;
@@ -59,6 +61,7 @@
 mod reclaim;
 mod refusal;
 mod rendezvous;
+mod propagate;
 mod replay;
 mod route;
 mod router;
@@ -143,6 +146,8 @@
 pub use route::{Choice, NoBackend, Reason, RouteRequest, RouteSettings, RouteTable};
 pub use router::{Router, RouterAddresses};
 pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
+pub use propagate::{ConfigHeartbeat, Propagation};
+pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
 pub use section::{Section, SectionName, Sections, sections_of};
 pub use settings::{
     HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
