--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -22,8 +22,6 @@
 mod engine;
 mod error;
 mod estimate;
-mod change;
-mod error;
 mod fleet;
 mod fleet_check;
 mod fleet_read;
@@ -56,12 +54,12 @@
 mod outbox;
 mod peers;
 mod prefix;
+mod propagate;
 mod publish;
 mod rate;
 mod reclaim;
 mod refusal;
 mod rendezvous;
-mod propagate;
 mod replay;
 mod route;
 mod router;
@@ -138,6 +136,7 @@
     CacheEvent, CacheEventKind, PREFIX_BLOCK_BYTES, PREFIX_BLOCK_TOKENS, PrefixSketch,
     prefix_hashes,
 };
+pub use propagate::{ConfigHeartbeat, Propagation};
 pub use publish::{Published, publish};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
 pub use refusal::{Code, Outcome, Refusal};
@@ -146,8 +145,6 @@
 pub use route::{Choice, NoBackend, Reason, RouteRequest, RouteSettings, RouteTable};
 pub use router::{Router, RouterAddresses};
 pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
-pub use propagate::{ConfigHeartbeat, Propagation};
-pub use replay::{ConfigLoader, ConfigState, ReplayError, Verdict, VoidReason};
 pub use section::{Section, SectionName, Sections, sections_of};
 pub use settings::{
     HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
