Fence key epochs in place of their owners

Cause: a forced claim took the confirmed fences of owner and witness as evidence. That is not enough. A key committed by an earlier owner, taken over since, may wait in a paused router under the name of an owner that nobody fenced; it would start after the new owner had given the key to another request.

Ruled out: fencing every owner that the shard ever had, as the list is not kept; a wait in the new owner, as a paused router has no bound.

Change: the members stream fences a key epoch. A submit names the epoch in which its key was committed, and a sidecar refuses it when that epoch or a later one of the shard is fenced; the router then asks the new owner.

The register check is left out in forced cases: a binding that was committed but never started may be lost with both holders, so the register is not linearizable there by design. Runs are counted in all cases.

Conclusion: at most one run a key also when owner and witness are lost.

--- a/crates/mallowpath/src/key.rs
+++ b/crates/mallowpath/src/key.rs
@@ -1,6 +1,9 @@
 //! Idempotency keys: their hashes, the records of the `keys-NN` streams and the replay of claims.
 
-use crate::{Incarnation, Members, Offset, ParseIdError, RequestId, Verdict, WorkspaceId};
+use crate::{
+    FenceTarget, Incarnation, KeyEpoch, Members, Offset, ParseIdError, RequestId, Verdict,
+    WorkspaceId,
+};
 use std::{
     collections::BTreeMap,
     fmt::{self, Display},
@@ -24,15 +27,12 @@
     pub address: String,
 }
 
-/// Offsets in the `members` stream that show that both holders of a shard are fenced everywhere.
+/// Shows that no run starts any more whose key was committed in the current epoch or before.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct ClaimEvidence {
-    /// The offset of the confirmed fence of the owner.
+    /// The offset in the `members` stream at which the fence of the current epoch was confirmed.
     #[prost(uint64, tag = "1")]
-    pub owner_done_offset: u64,
-    /// The offset of the confirmed fence of the witness.
-    #[prost(uint64, tag = "2")]
-    pub witness_done_offset: u64,
+    pub done_offset: u64,
 }
 
 /// Names the owner and the witness of a key shard for one epoch.
@@ -246,7 +246,7 @@
     ///
     /// A claim is valid when its epoch follows the current one and its author is its new owner and
     /// was owner or witness before; when the shard has no claim yet; or when its evidence names the
-    /// confirmed fences of both holders. `members` has to be replayed to the offsets of the
+    /// confirmed fence of the current epoch. `members` has to be replayed to the offset of the
     /// evidence; a longer replay gives the same verdict. A log batch is valid when the current
     /// owner wrote it.
     pub fn apply(&mut self, offset: Offset, record: &KeysRecord, members: &Members) -> Verdict {
@@ -301,7 +301,7 @@
         if owner == current.owner_incarnation() || owner == current.witness_incarnation() {
             return Verdict::Valid;
         }
-        match &claim.evidence {
+        match claim.evidence {
             Some(evidence) => judge_evidence(evidence, current, members),
             None => Verdict::Void,
         }
@@ -337,14 +337,16 @@
         .collect()
 }
 
-fn judge_evidence(evidence: &ClaimEvidence, current: &Claim, members: &Members) -> Verdict {
-    let owner_done = Offset(evidence.owner_done_offset);
-    let witness_done = Offset(evidence.witness_done_offset);
-    if owner_done.max(witness_done) >= members.next_offset() {
+fn judge_evidence(evidence: ClaimEvidence, current: &Claim, members: &Members) -> Verdict {
+    let done = Offset(evidence.done_offset);
+    if done >= members.next_offset() {
         return Verdict::Behind;
     }
-    let holds = members.fence_done_offset(current.owner_incarnation()) == Some(owner_done)
-        && members.fence_done_offset(current.witness_incarnation()) == Some(witness_done);
+    let fenced = FenceTarget::Keys(KeyEpoch {
+        shard: current.shard,
+        epoch: current.epoch,
+    });
+    let holds = members.fence_done_offset(fenced) == Some(done);
     if holds { Verdict::Valid } else { Verdict::Void }
 }
 
--- a/crates/mallowpath/src/key_claim.rs
+++ b/crates/mallowpath/src/key_claim.rs
@@ -37,10 +37,13 @@
         Some(self.freeze(now_ms))
     }
 
-    /// Starts a claim from outside, after both holders were fenced everywhere.
+    /// Starts a claim from outside, after owner and witness were lost and the fence of the current
+    /// epoch was confirmed by all sidecars.
     ///
-    /// `records` are the bindings found in the log and at the sidecars. Other keys are answered as
-    /// unknown for `unknown_ms`, which is 0 only when the records are known to be complete.
+    /// `records` are the bindings of the log batches, replaced by the runs that the sidecars have
+    /// started. Other keys are answered as unknown for `unknown_ms`. It may be 0 only when every
+    /// sidecar that can have run a key of the shard has reported all such runs; else it is as long
+    /// as callers may repeat a request.
     pub fn begin_recovery(
         &mut self,
         evidence: ClaimEvidence,
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -25,8 +25,8 @@
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
 pub use load_queue::{LoadOrder, LoadQueue, LoadSettings};
 pub use members::{
-    Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint,
-    MembersRecord, confirmed_hash,
+    Fence, FenceDone, FenceTarget, FencedAt, Join, JoinedAt, KeyEpoch, Leave, Members,
+    MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash,
 };
 pub use order::{
     OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders,
--- a/crates/mallowpath/src/members.rs
+++ b/crates/mallowpath/src/members.rs
@@ -1,4 +1,4 @@
-//! Replay of the `members` stream: which sidecars exist and which processes are fenced.
+//! Replay of the `members` stream: which sidecars exist and what is fenced.
 //!
 //! Validity is a function of the replayed prefix. A sidecar serves only after its own join was seen
 //! valid, and reads every fence before that join; so exactly the sidecars that joined before a fence
@@ -32,25 +32,47 @@
     pub previous: u64,
 }
 
-/// Asks every sidecar to refuse the requests of an incarnation and the keys that it committed.
+/// An epoch of a key shard.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Message)]
+pub struct KeyEpoch {
+    /// The shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// The epoch.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+}
+
+/// What a fence stops.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Oneof)]
+pub enum FenceTarget {
+    /// The runs of a router, by its incarnation: those that go on are cancelled.
+    #[prost(fixed64, tag = "1")]
+    Router(u64),
+    /// Starts of runs whose keys were committed in this epoch of the shard or an earlier one.
+    #[prost(message, tag = "2")]
+    Keys(KeyEpoch),
+}
+
+/// Asks every sidecar to refuse what the target names.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Fence {
-    /// The fenced process.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
+    /// What is fenced.
+    #[prost(oneof = "FenceTarget", tags = "1, 2")]
+    pub target: Option<FenceTarget>,
     /// The process that asks.
-    #[prost(fixed64, tag = "2")]
+    #[prost(fixed64, tag = "3")]
     pub author: u64,
 }
 
 /// States that every sidecar that had to confirm a fence has done so.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct FenceDone {
-    /// The fenced process.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
+    /// What is fenced.
+    #[prost(oneof = "FenceTarget", tags = "1, 2")]
+    pub target: Option<FenceTarget>,
     /// [`confirmed_hash`] of the sidecars that confirmed.
-    #[prost(fixed64, tag = "2")]
+    #[prost(fixed64, tag = "3")]
     pub confirmed_hash: u64,
 }
 
@@ -76,14 +98,14 @@
 /// A fence in a checkpoint.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct FencedAt {
-    /// The fenced process.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
+    /// What is fenced.
+    #[prost(oneof = "FenceTarget", tags = "1, 2")]
+    pub target: Option<FenceTarget>,
     /// The offset of the fence.
-    #[prost(uint64, tag = "2")]
+    #[prost(uint64, tag = "3")]
     pub offset: u64,
     /// The offset of the record that found it confirmed.
-    #[prost(uint64, optional, tag = "3")]
+    #[prost(uint64, optional, tag = "4")]
     pub done_offset: Option<u64>,
 }
 
@@ -118,10 +140,10 @@
     /// A sidecar starts.
     #[prost(message, tag = "1")]
     Join(Join),
-    /// A process is to be refused.
+    /// Something is to be refused.
     #[prost(message, tag = "2")]
     Fence(Fence),
-    /// A process is refused everywhere.
+    /// It is refused everywhere.
     #[prost(message, tag = "3")]
     FenceDone(FenceDone),
     /// A sidecar ends.
@@ -138,7 +160,7 @@
     next: Offset,
     live: BTreeMap<Incarnation, (Offset, Join)>,
     latest: BTreeMap<String, Incarnation>,
-    fences: BTreeMap<Incarnation, FenceState>,
+    fences: BTreeMap<FenceTarget, FenceState>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -165,12 +187,13 @@
                 .insert(name.clone(), Incarnation(*incarnation));
         }
         for fence in &checkpoint.fences {
+            let Some(target) = fence.target else { continue };
             let done = fence.done_offset.map(Offset);
             let state = FenceState {
                 offset: Offset(fence.offset),
                 done,
             };
-            members.fences.insert(Incarnation(fence.incarnation), state);
+            members.fences.insert(target, state);
         }
         members
     }
@@ -190,9 +213,9 @@
         for (name, incarnation) in &self.latest {
             checkpoint.latest.insert(name.clone(), incarnation.0);
         }
-        for (incarnation, state) in &self.fences {
+        for (target, state) in &self.fences {
             checkpoint.fences.push(FencedAt {
-                incarnation: incarnation.0,
+                target: Some(*target),
                 offset: state.offset.0,
                 done_offset: state.done.map(|offset| offset.0),
             });
@@ -236,19 +259,19 @@
         self.live.contains_key(&incarnation)
     }
 
-    /// Returns all fenced incarnations.
-    pub fn fenced(&self) -> impl Iterator<Item = Incarnation> + '_ {
+    /// Returns everything that is fenced.
+    pub fn fenced(&self) -> impl Iterator<Item = FenceTarget> + '_ {
         self.fences.keys().copied()
     }
 
-    /// Returns the offset of the fence of an incarnation.
-    pub fn fence_offset(&self, incarnation: Incarnation) -> Option<Offset> {
-        self.fences.get(&incarnation).map(|state| state.offset)
+    /// Returns the offset of the fence of a target.
+    pub fn fence_offset(&self, target: FenceTarget) -> Option<Offset> {
+        self.fences.get(&target).map(|state| state.offset)
     }
 
-    /// Returns the offset of the record that found the fence of an incarnation confirmed by all.
-    pub fn fence_done_offset(&self, incarnation: Incarnation) -> Option<Offset> {
-        self.fences.get(&incarnation)?.done
+    /// Returns the offset of the record that found the fence of a target confirmed by all.
+    pub fn fence_done_offset(&self, target: FenceTarget) -> Option<Offset> {
+        self.fences.get(&target)?.done
     }
 
     /// Returns the sidecars that joined before a fence and are not gone; the fence holds once each
@@ -282,18 +305,22 @@
     }
 
     fn fence(&mut self, offset: Offset, fence: &Fence) -> bool {
-        let incarnation = Incarnation(fence.incarnation);
-        if self.fences.contains_key(&incarnation) {
+        let Some(target) = fence.target else {
+            return false;
+        };
+        if self.fences.contains_key(&target) {
             return false;
         }
         self.fences
-            .insert(incarnation, FenceState { offset, done: None });
+            .insert(target, FenceState { offset, done: None });
         true
     }
 
     fn fence_done(&mut self, offset: Offset, done: &FenceDone) -> bool {
-        let incarnation = Incarnation(done.incarnation);
-        let Some(state) = self.fences.get(&incarnation).copied() else {
+        let Some(target) = done.target else {
+            return false;
+        };
+        let Some(state) = self.fences.get(&target).copied() else {
             return false;
         };
         let expected = confirmed_hash(&self.must_confirm(state.offset));
@@ -301,7 +328,7 @@
             return false;
         }
         self.fences.insert(
-            incarnation,
+            target,
             FenceState {
                 done: Some(offset),
                 ..state
--- a/crates/mallowpath/src/run.rs
+++ b/crates/mallowpath/src/run.rs
@@ -4,7 +4,7 @@
 //! submitted gets a tombstone and never starts. The answer [`AttachAnswer::Never`] is given only
 //! with such proof; where the proof was forgotten, the answer says that too.
 
-use crate::{Incarnation, KeyHash, RequestId, run_marks::RunMarks};
+use crate::{FenceTarget, Incarnation, KeyEpoch, KeyHash, RequestId, run_marks::RunMarks};
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -38,8 +38,10 @@
 pub struct RunKey {
     /// The key.
     pub hash: KeyHash,
-    /// The owner of the key's shard that committed it.
-    pub owner: Incarnation,
+    /// The hash of the request's method, path and body.
+    pub body_hash: u64,
+    /// The epoch of the owner that told the router of the binding.
+    pub committed_in: KeyEpoch,
 }
 
 /// A router asks for a run to start.
@@ -68,8 +70,10 @@
     Tombstoned,
     /// The request may have run here; nothing of it is kept.
     Forgotten,
-    /// The router or the key's owner is fenced.
+    /// The router is fenced.
     Fenced(Incarnation),
+    /// The epoch in which the key was committed is fenced; the router asks the new owner.
+    EpochFenced,
     /// The backend server takes no new work.
     Leaving,
     /// Too many runs go on.
@@ -118,6 +122,7 @@
     kept_bytes: usize,
     marks: RunMarks,
     fenced: BTreeSet<Incarnation>,
+    fenced_epochs: BTreeMap<u32, u64>,
 }
 
 #[derive(Debug)]
@@ -132,13 +137,13 @@
 }
 
 impl RunTable {
-    /// Makes an empty table for a sidecar that has seen every fence before its own join.
+    /// Makes an empty table for a sidecar that has read every fence before its own join.
     pub fn new(
         me: Incarnation,
         settings: RunSettings,
-        fenced: impl IntoIterator<Item = Incarnation>,
+        fenced: impl IntoIterator<Item = FenceTarget>,
     ) -> Self {
-        Self {
+        let mut table = Self {
             me,
             settings,
             leaving: false,
@@ -147,8 +152,13 @@
             ended: VecDeque::default(),
             kept_bytes: 0,
             marks: RunMarks::default(),
-            fenced: fenced.into_iter().collect(),
+            fenced: BTreeSet::default(),
+            fenced_epochs: BTreeMap::default(),
+        };
+        for target in fenced {
+            table.fence(target);
         }
+        table
     }
 
     /// Decides whether a request starts.
@@ -262,14 +272,25 @@
         orphans
     }
 
-    /// Refuses an incarnation from now on, and returns its runs to cancel.
+    /// Refuses from now on what the target names, and returns the runs to cancel.
+    ///
+    /// A fence of keys cancels nothing: the runs that have started are in [`keyed_runs`], which the
+    /// sidecar reports with its confirmation.
     ///
-    /// As a router it submits nothing more; as the owner of key shards it lets nothing more start.
-    pub fn fence(&mut self, incarnation: Incarnation) -> Vec<RequestId> {
-        self.fenced.insert(incarnation);
+    /// [`keyed_runs`]: Self::keyed_runs
+    pub fn fence(&mut self, target: FenceTarget) -> Vec<RequestId> {
         let mut cancelled = Vec::new();
+        let router = match target {
+            FenceTarget::Router(router) => Incarnation(router),
+            FenceTarget::Keys(KeyEpoch { shard, epoch }) => {
+                let fenced = self.fenced_epochs.entry(shard).or_default();
+                *fenced = epoch.max(*fenced);
+                return cancelled;
+            }
+        };
+        self.fenced.insert(router);
         for (id, run) in &mut self.runs {
-            if id.incarnation != incarnation || run.end.is_some() {
+            if id.incarnation != router || run.end.is_some() {
                 continue;
             }
             run.cancelling = true;
@@ -278,10 +299,15 @@
         cancelled
     }
 
-    /// Returns whether an incarnation is fenced and none of its runs goes on.
-    pub fn fence_done(&self, incarnation: Incarnation) -> bool {
+    /// Returns whether the fence of a target holds here, so that it may be confirmed: a router has
+    /// no run left that goes on, a key epoch lets nothing more start.
+    pub fn fence_done(&self, target: FenceTarget) -> bool {
+        let router = match target {
+            FenceTarget::Router(router) => Incarnation(router),
+            FenceTarget::Keys(key_epoch) => return self.is_epoch_fenced(key_epoch),
+        };
         let mut running = self.runs.iter().filter(|(_, run)| run.end.is_none());
-        self.fenced.contains(&incarnation) && running.all(|(id, _)| id.incarnation != incarnation)
+        self.fenced.contains(&router) && running.all(|(id, _)| id.incarnation != router)
     }
 
     /// Drops the marks of a fenced incarnation; its requests are answered as forgotten from now on.
@@ -291,14 +317,11 @@
         }
     }
 
-    /// Returns the keyed runs that an owner committed, for the recovery of its shards.
-    pub fn keyed_runs(&self, owner: Incarnation) -> Vec<(KeyHash, RequestId)> {
+    /// Returns the keyed runs in the table, for the recovery of a key shard.
+    pub fn keyed_runs(&self) -> Vec<(RequestId, RunKey)> {
         let mut keyed = Vec::new();
         for (id, run) in &self.runs {
-            let Some(key) = run.key else { continue };
-            if key.owner == owner {
-                keyed.push((key.hash, *id));
-            }
+            keyed.extend(run.key.map(|key| (*id, key)));
         }
         keyed
     }
@@ -318,14 +341,19 @@
         self.kept_bytes
     }
 
+    fn is_epoch_fenced(&self, key_epoch: KeyEpoch) -> bool {
+        let fenced = self.fenced_epochs.get(&key_epoch.shard);
+        fenced.is_some_and(|epoch| key_epoch.epoch <= *epoch)
+    }
+
     fn refusal(&self, submit: &Submit) -> Option<SubmitAnswer> {
         if self.fenced.contains(&submit.id.incarnation) {
             return Some(SubmitAnswer::Fenced(submit.id.incarnation));
         }
         if let Some(key) = submit.key
-            && self.fenced.contains(&key.owner)
+            && self.is_epoch_fenced(key.committed_in)
         {
-            return Some(SubmitAnswer::Fenced(key.owner));
+            return Some(SubmitAnswer::EpochFenced);
         }
         if self.leaving {
             return Some(SubmitAnswer::Leaving);
--- a/crates/mallowpath/tests/key_shards.rs
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -2,11 +2,11 @@
 //! messages, pauses, crashes, racing claims and log outages.
 
 use mallowpath::{
-    AttachAnswer, Claim, ClaimEvidence, CommitAnswer, Fence, FenceDone, Incarnation, KeyAck,
-    KeyCopy, KeyCopyHeld, KeyEntry, KeyHash, KeyPeer, KeyReplica, KeySettings, KeyShards,
-    KeyUpdate, KeysChange, KeysRecord, Members, MembersChange, MembersRecord, Offset, RequestId,
-    RunKey, RunSettings, RunTable, Submit, SubmitAnswer, Verdict, WorkspaceId, confirmed_hash,
-    key_shard, recover_keys,
+    AttachAnswer, Claim, ClaimEvidence, CommitAnswer, Fence, FenceDone, FenceTarget, Incarnation,
+    KeyAck, KeyCopy, KeyCopyHeld, KeyEntry, KeyEpoch, KeyHash, KeyLog, KeyPeer, KeyRecord,
+    KeyReplica, KeySettings, KeyShards, KeyUpdate, KeysChange, KeysRecord, Members, MembersChange,
+    MembersRecord, Offset, RequestId, RunKey, RunSettings, RunTable, Submit, SubmitAnswer, Verdict,
+    WorkspaceId, confirmed_hash, key_shard, recover_keys,
 };
 use proptest::{
     collection::vec,
@@ -67,6 +67,29 @@
     }
 }
 
+/// Fences an epoch in a stream that no sidecar has joined, and returns the evidence.
+fn fence_keys(members: &mut Members, key_epoch: KeyEpoch) -> ClaimEvidence {
+    let target = Some(FenceTarget::Keys(key_epoch));
+    let confirmed_hash = confirmed_hash(&BTreeSet::new());
+    let fence = MembersChange::Fence(Fence { target, author: 3 });
+    let done = MembersChange::FenceDone(FenceDone {
+        target,
+        confirmed_hash,
+    });
+    for change in [fence, done] {
+        members.apply(
+            members.next_offset(),
+            &MembersRecord {
+                change: Some(change),
+            },
+        );
+    }
+    let done_offset = members.fence_done_offset(FenceTarget::Keys(key_epoch));
+    ClaimEvidence {
+        done_offset: done_offset.expect("the fence was confirmed").0,
+    }
+}
+
 /// One key as a register that is set by comparison: from one of `from` to `to`.
 #[derive(Debug, Clone)]
 struct Bind {
@@ -101,7 +124,7 @@
     Copy(usize, KeyCopy),
     Held(usize, KeyCopyHeld),
     Append(Claim),
-    Submit(u8, KeyEntry),
+    Submit(u8, KeyEntry, u64),
 }
 
 /// A router's request for a key, and what it has learnt.
@@ -118,14 +141,17 @@
     outage: bool,
     network: Vec<Message>,
     sidecars: Vec<RunTable>,
+    members: Members,
+    batches: Vec<KeyLog>,
     requests: Vec<Request>,
     history: Vec<(u8, usize, Action<usize>)>,
     starts: Vec<(u8, RequestId)>,
     crashes: u64,
+    may_force: bool,
 }
 
 impl Model {
-    fn new() -> Self {
+    fn new(may_force: bool) -> Self {
         let mut sidecars = Vec::new();
         for sidecar in 0..SIDECARS {
             let settings = RunSettings {
@@ -141,10 +167,13 @@
             outage: false,
             network: Vec::new(),
             sidecars,
+            members: Members::default(),
+            batches: Vec::new(),
             requests: Vec::new(),
             history: Vec::new(),
             starts: Vec::new(),
             crashes: 0,
+            may_force,
         }
     }
 
@@ -164,7 +193,13 @@
             15 if a < 40 => self.outage = !self.outage,
             16 if a < 40 => self.crash(process),
             17 => drop(self.take(a)),
-            18..=19 => {
+            18 => self
+                .batches
+                .extend(self.processes[process].take_log_batch(2)),
+            19 if self.may_force && a < 80 => {
+                self.force(process, usize::from(b) % PROCESSES, a < 40);
+            }
+            20..=21 => {
                 let index = usize::from(a) % self.network.len().max(1);
                 self.network.extend(self.network.get(index).cloned());
             }
@@ -207,6 +242,37 @@
         }
     }
 
+    /// Has an operator fence the current epoch at all sidecars and start a forced claim.
+    fn force(&mut self, process: usize, witness: usize, complete: bool) {
+        let Some(current) = self.log.last().filter(|_| !self.outage) else {
+            return;
+        };
+        let key_epoch = KeyEpoch {
+            shard: 0,
+            epoch: current.epoch,
+        };
+        let evidence = fence_keys(&mut self.members, key_epoch);
+        let mut records = recover_keys(&self.batches);
+        for (index, sidecar) in self.sidecars.iter_mut().enumerate() {
+            sidecar.fence(FenceTarget::Keys(key_epoch));
+            for (id, key) in sidecar.keyed_runs() {
+                let entry = entry(id.sequence, index as u64);
+                records.push(KeyRecord::new(key.hash, &entry, false, 0));
+            }
+        }
+        // Without the reports of the sidecars, the keys that are not in the log stay unknown.
+        let unknown_ms = if complete { 0 } else { u64::MAX };
+        if !complete {
+            records = recover_keys(&self.batches);
+        }
+        let process = &mut self.processes[process];
+        if process.epoch() == current.epoch
+            && let Some(copy) = process.begin_recovery(evidence, &records, unknown_ms, 0)
+        {
+            self.network.push(Message::Copy(witness, copy));
+        }
+    }
+
     fn send_update(&mut self, from: usize, update: &KeyUpdate) {
         for to in 0..PROCESSES {
             if to != from {
@@ -272,17 +338,18 @@
                 self.send_update(process, &update);
             }
             CommitAnswer::Existing { entry, .. } if entry == self.requests[number].entry => {
-                self.committed(number);
+                self.committed(process, number);
             }
             _ => {}
         }
     }
 
     /// The router learns that its request may run.
-    fn committed(&mut self, number: usize) {
+    fn committed(&mut self, process: usize, number: usize) {
+        let epoch = self.processes[process].epoch();
         let request = &mut self.requests[number];
         self.network
-            .push(Message::Submit(request.key, request.entry.clone()));
+            .push(Message::Submit(request.key, request.entry.clone(), epoch));
         if !request.bind.answered {
             request.bind.answered = true;
             self.history
@@ -301,7 +368,8 @@
             }
             Message::Ack(to, ack) => {
                 if let Some((_, entry)) = self.processes[to].acknowledge(&ack) {
-                    self.committed(usize::try_from(entry.request_id.sequence).unwrap_or_default());
+                    let number = usize::try_from(entry.request_id.sequence).unwrap_or_default();
+                    self.committed(to, number);
                 }
             }
             Message::Copy(to, copy) => {
@@ -317,24 +385,24 @@
             }
             Message::Append(claim) if self.outage => self.network.push(Message::Append(claim)),
             Message::Append(claim) => self.append(claim),
-            Message::Submit(key, entry) => self.submit(key, &entry),
+            Message::Submit(key, entry, epoch) => self.submit(key, &entry, epoch),
         }
     }
 
     /// Appends a claim; the processes get those that the replay finds valid.
     fn append(&mut self, claim: Claim) {
         let mut shards = KeyShards::default();
-        for (offset, earlier) in self.log.iter().enumerate() {
-            let offset = Offset(offset as u64);
-            shards.apply(offset, &record(earlier.clone()), &Members::default());
+        for (offset, earlier) in (0..).zip(&self.log) {
+            shards.apply(Offset(offset), &record(earlier.clone()), &self.members);
         }
         let next = shards.next_offset();
-        if shards.apply(next, &record(claim.clone()), &Members::default()) == Verdict::Valid {
+        if shards.apply(next, &record(claim.clone()), &self.members) == Verdict::Valid {
             self.log.push(claim);
         }
     }
 
-    fn submit(&mut self, key: u8, entry: &KeyEntry) {
+    fn submit(&mut self, key: u8, entry: &KeyEntry, epoch: u64) {
+        let committed_in = KeyEpoch { shard: 0, epoch };
         let sidecar = usize::try_from(entry.sidecar.0).unwrap_or_default();
         let answer = self.sidecars[sidecar].submit(&Submit {
             id: entry.request_id,
@@ -342,7 +410,8 @@
             lowest_open: 0,
             key: Some(RunKey {
                 hash: KeyHash([key; 16]),
-                owner: Incarnation(0),
+                body_hash: 7,
+                committed_in,
             }),
             tombstone_on_refusal: true,
         });
@@ -363,6 +432,10 @@
                 "key {key} ran {starts} times: {:?}",
                 self.starts
             );
+            if self.may_force {
+                // A binding that was committed but not started may be lost with both holders.
+                continue;
+            }
             let mut actions = Vec::new();
             let mut open = Vec::new();
             for (of_key, number, action) in &self.history {
@@ -394,7 +467,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 3000,
+        cases: 6000,
         rng_seed: RngSeed::Fixed(1),
         failure_persistence: None,
         max_shrink_iters: 2000,
@@ -402,8 +475,11 @@
     })]
 
     #[test]
-    fn a_key_runs_at_most_once(steps in vec(any::<(u8, u8, u8)>(), 100..500)) {
-        let mut model = Model::new();
+    fn a_key_runs_at_most_once(
+        may_force in any::<bool>(),
+        steps in vec(any::<(u8, u8, u8)>(), 100..500),
+    ) {
+        let mut model = Model::new(may_force);
         for (kind, a, b) in steps {
             model.step(kind, a, b);
         }
@@ -484,6 +560,22 @@
     assert_eq!(c.commit(key, entry(5, 0), 0), CommitAnswer::NotOwner);
 }
 
+#[test]
+fn a_claim_needs_the_confirmation_of_the_newest_copy() {
+    let (mut a, mut b, mut c) = (replica(1), replica(2), replica(3));
+    install(&mut a, &mut b);
+    let copy = b.begin_claim(0).expect("a witness may claim");
+    let held = c.receive_copy(copy.clone()).expect("the copy is new");
+    assert!(b.cancel_claim());
+    committed(&mut a, &mut b, KeyHash([1; 16]), entry(1, 0));
+    let newer = b.begin_claim(0).expect("a witness may claim");
+    assert_eq!(b.author_claim(&held), None);
+    let held = c.receive_copy(newer).expect("the copy is new");
+    assert_eq!(c.receive_copy(copy), None);
+    assert!(b.author_claim(&held).is_some());
+    assert!(!b.cancel_claim(), "the claim may be in the log");
+}
+
 #[test]
 fn a_finished_key_expires_at_owner_and_witness() {
     let (mut a, mut b) = (replica(1), replica(2));
@@ -507,7 +599,7 @@
 }
 
 #[test]
-fn a_forced_claim_needs_both_fences_confirmed_and_leaves_other_keys_unknown() {
+fn a_forced_claim_needs_the_confirmed_fence_and_leaves_other_keys_unknown() {
     let (mut a, mut b, mut c, mut d) = (replica(1), replica(2), replica(3), replica(4));
     let first = install(&mut a, &mut b);
     let key = KeyHash([1; 16]);
@@ -517,32 +609,8 @@
     d.see_claim(&first, 0);
 
     let mut members = Members::default();
-    let fence = |incarnation| {
-        MembersChange::Fence(Fence {
-            incarnation,
-            author: 3,
-        })
-    };
-    let confirmed_hash = confirmed_hash(&BTreeSet::new());
-    let done = |incarnation| {
-        MembersChange::FenceDone(FenceDone {
-            incarnation,
-            confirmed_hash,
-        })
-    };
-    for (offset, change) in [fence(1), fence(2), done(1)].into_iter().enumerate() {
-        let record = MembersRecord {
-            change: Some(change),
-        };
-        assert_eq!(
-            members.apply(Offset(offset as u64), &record),
-            Verdict::Valid
-        );
-    }
-    let evidence = ClaimEvidence {
-        owner_done_offset: 2,
-        witness_done_offset: 3,
-    };
+    let key_epoch = KeyEpoch { shard: 0, epoch: 1 };
+    let evidence = fence_keys(&mut members.clone(), key_epoch);
     let copy = c.begin_recovery(evidence, &recover_keys(&[batch]), 100, 0);
     let held = d
         .receive_copy(copy.expect("the process is outside"))
@@ -554,18 +622,28 @@
         shards.apply(Offset(1), &record(forced.clone()), &members),
         Verdict::Behind
     );
-    let wrong = ClaimEvidence {
-        witness_done_offset: 1,
-        ..evidence
-    };
-    let early = Claim {
-        evidence: Some(wrong),
-        ..forced.clone()
-    };
+    fence_keys(
+        &mut members,
+        KeyEpoch {
+            epoch: 2,
+            ..key_epoch
+        },
+    );
     assert_eq!(
-        shards.clone().apply(Offset(1), &record(early), &members),
+        shards
+            .clone()
+            .apply(Offset(1), &record(forced.clone()), &members),
         Verdict::Void
     );
+    members = Members::default();
+    assert_eq!(fence_keys(&mut members, key_epoch), evidence);
+    fence_keys(
+        &mut members,
+        KeyEpoch {
+            epoch: 2,
+            ..key_epoch
+        },
+    );
     let bare = Claim {
         evidence: None,
         ..forced.clone()
@@ -574,18 +652,13 @@
         shards.clone().apply(Offset(1), &record(bare), &members),
         Verdict::Void
     );
-    members.apply(
-        Offset(3),
-        &MembersRecord {
-            change: Some(done(2)),
-        },
-    );
     assert_eq!(
         shards.apply(Offset(1), &record(forced.clone()), &members),
         Verdict::Valid
     );
 
     c.see_claim(&forced, 0);
+    d.see_claim(&forced, 0);
     let existing = CommitAnswer::Existing {
         entry: entry(1, 0),
         finished: false,
@@ -603,6 +676,11 @@
         c.commit(KeyHash([2; 16]), entry(3, 0), 100),
         CommitAnswer::New(_)
     ));
+    install(&mut d, &mut replica(5));
+    assert_eq!(
+        d.commit(KeyHash([2; 16]), entry(3, 0), 99),
+        CommitAnswer::Unknown
+    );
 }
 
 #[test]
--- a/crates/mallowpath/tests/members.rs
+++ b/crates/mallowpath/tests/members.rs
@@ -1,8 +1,8 @@
 //! Replay of the `members` stream.
 
 use mallowpath::{
-    Fence, FenceDone, Incarnation, Join, Leave, Members, MembersChange, MembersCheckpoint,
-    MembersRecord, Offset, Verdict, confirmed_hash,
+    Fence, FenceDone, FenceTarget, Incarnation, Join, KeyEpoch, Leave, Members, MembersChange,
+    MembersCheckpoint, MembersRecord, Offset, Verdict, confirmed_hash,
 };
 use proptest::{
     collection::vec,
@@ -22,9 +22,19 @@
     })
 }
 
+fn target(number: u64) -> FenceTarget {
+    if number < 2 {
+        return FenceTarget::Keys(KeyEpoch {
+            shard: 1,
+            epoch: number,
+        });
+    }
+    FenceTarget::Router(number)
+}
+
 fn fence(incarnation: u64) -> MembersChange {
     MembersChange::Fence(Fence {
-        incarnation,
+        target: Some(target(incarnation)),
         author: 1,
     })
 }
@@ -33,7 +43,7 @@
     let confirmed: BTreeSet<Incarnation> = confirmed.iter().copied().map(Incarnation).collect();
     let confirmed_hash = confirmed_hash(&confirmed);
     MembersChange::FenceDone(FenceDone {
-        incarnation,
+        target: Some(target(incarnation)),
         confirmed_hash,
     })
 }
@@ -106,7 +116,7 @@
     assert_eq!(apply(&mut members, join(5, 1, 1)), Verdict::Valid);
     apply(&mut members, MembersChange::Leave(Leave { incarnation: 2 }));
     assert_eq!(apply(&mut members, done(9, &[3])), Verdict::Valid);
-    assert_eq!(members.fence_done_offset(Incarnation(9)), Some(Offset(8)));
+    assert_eq!(members.fence_done_offset(target(9)), Some(Offset(8)));
 }
 
 #[test]
--- a/crates/mallowpath/tests/run_table.rs
+++ b/crates/mallowpath/tests/run_table.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use mallowpath::{
-    AttachAnswer, Incarnation, KeyHash, RequestId, RunEnd, RunKey, RunSettings, RunTable, Submit,
-    SubmitAnswer,
+    AttachAnswer, FenceTarget, Incarnation, KeyEpoch, KeyHash, RequestId, RunEnd, RunKey,
+    RunSettings, RunTable, Submit, SubmitAnswer,
 };
 use proptest::{
     collection::vec,
@@ -13,7 +13,8 @@
 use std::collections::BTreeSet;
 
 const ME: Incarnation = Incarnation(7);
-const OWNER: Incarnation = Incarnation(3);
+const EPOCH: KeyEpoch = KeyEpoch { shard: 5, epoch: 2 };
+const ROUTERS: u64 = 3;
 
 fn id(router: u64, sequence: u64) -> RequestId {
     RequestId {
@@ -25,7 +26,8 @@
 fn submit(id: RequestId) -> Submit {
     let key = Some(RunKey {
         hash: KeyHash([0; 16]),
-        owner: OWNER,
+        body_hash: 0,
+        committed_in: EPOCH,
     });
     Submit {
         id,
@@ -56,11 +58,12 @@
 
     #[test]
     fn a_request_starts_once_and_never_after_its_tombstone(
-        steps in vec((0..24u8, 1..4u64, 0..6u64), 1..150),
+        steps in vec((0..24u8, 1..=ROUTERS, 0..6u64), 1..150),
     ) {
         let mut table = RunTable::new(ME, settings(), []);
         let (mut started, mut never) = (BTreeSet::new(), BTreeSet::new());
         let (mut running, mut fenced) = (BTreeSet::new(), BTreeSet::new());
+        let mut epoch_fenced = false;
         for (now_ms, (kind, router, sequence)) in (0u64..).zip(steps) {
             let id = id(router, sequence);
             match kind {
@@ -72,7 +75,7 @@
                     if answer == SubmitAnswer::Start {
                         assert!(started.insert(id), "{id} started twice");
                         assert!(!never.contains(&id), "{id} started after its tombstone");
-                        assert!(!fenced.contains(&id.incarnation) && !fenced.contains(&OWNER));
+                        assert!(!fenced.contains(&id.incarnation) && !epoch_fenced);
                         running.insert(id);
                     } else if answer == SubmitAnswer::Tombstoned {
                         assert!(!started.contains(&id), "{id} has run");
@@ -93,18 +96,22 @@
                 }
                 21 => table.forget_fenced(id.incarnation),
                 _ if sequence == 0 => {
-                    let cancelled: BTreeSet<_> = table.fence(id.incarnation).into_iter().collect();
+                    let cancelled: BTreeSet<_> = table.fence(FenceTarget::Router(router)).into_iter().collect();
                     let of_router = running.iter().filter(|id| id.incarnation.0 == router);
                     assert_eq!(cancelled, of_router.copied().collect());
                     fenced.insert(id.incarnation);
                 }
+                22 if sequence == 1 => {
+                    assert!(table.fence(FenceTarget::Keys(EPOCH)).is_empty());
+                    epoch_fenced = true;
+                }
                 _ => table.forget_ended(now_ms),
             }
             assert_eq!(table.running(), running.len());
             assert!(table.kept_bytes() <= settings().keep_bytes);
             for incarnation in &fenced {
                 let runs_on = running.iter().any(|id| id.incarnation == *incarnation);
-                assert_eq!(table.fence_done(*incarnation), !runs_on);
+                assert_eq!(table.fence_done(FenceTarget::Router(incarnation.0)), !runs_on);
             }
         }
     }
@@ -135,7 +142,7 @@
 
 #[test]
 fn refusals_say_why() {
-    let mut table = RunTable::new(ME, settings(), [Incarnation(9)]);
+    let mut table = RunTable::new(ME, settings(), [FenceTarget::Router(9)]);
     let other = Submit {
         sidecar: Incarnation(8),
         ..submit(id(1, 1))
@@ -158,7 +165,9 @@
     );
     table.leave();
     assert_eq!(table.submit(&submit(id(1, 4))), SubmitAnswer::Leaving);
-    assert_eq!(table.keyed_runs(OWNER).len(), 3);
-    table.fence(OWNER);
-    assert_eq!(table.submit(&submit(id(1, 4))), SubmitAnswer::Fenced(OWNER));
+    assert_eq!(table.keyed_runs().len(), 3);
+    table.fence(FenceTarget::Keys(EPOCH));
+    table.fence(FenceTarget::Keys(KeyEpoch { epoch: 1, ..EPOCH }));
+    assert_eq!(table.submit(&submit(id(1, 4))), SubmitAnswer::EpochFenced);
+    assert!(table.fence_done(FenceTarget::Keys(EPOCH)));
 }
