--- a/crates/mallowpath/src/key.rs
+++ b/crates/mallowpath/src/key.rs
@@ -373,3 +373,11 @@
         }
     }
 }
+
+impl From<KeysChange> for KeysRecord {
+    fn from(change: KeysChange) -> Self {
+        Self {
+            change: Some(change),
+        }
+    }
+}
--- a/crates/mallowpath/src/members.rs
+++ b/crates/mallowpath/src/members.rs
@@ -346,3 +346,11 @@
     }
     hasher.digest()
 }
+
+impl From<MembersChange> for MembersRecord {
+    fn from(change: MembersChange) -> Self {
+        Self {
+            change: Some(change),
+        }
+    }
+}
--- a/crates/mallowpath/src/order.rs
+++ b/crates/mallowpath/src/order.rs
@@ -291,3 +291,11 @@
         }
     }
 }
+
+impl From<OrdersChange> for OrdersRecord {
+    fn from(change: OrdersChange) -> Self {
+        Self {
+            change: Some(change),
+        }
+    }
+}
--- a/crates/mallowpath/tests/key_shards.rs
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -5,8 +5,8 @@
     AttachAnswer, Claim, ClaimEvidence, CommitAnswer, Fence, FenceDone, FenceTarget, Incarnation,
     KeyAck, KeyCopy, KeyCopyHeld, KeyEntry, KeyEpoch, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyReplica, KeySettings, KeyShards, KeyUpdate, KeysChange, KeysRecord, Members, MembersChange,
-    MembersRecord, Offset, RequestId, RunKey, RunSettings, RunTable, Submit, SubmitAnswer, Verdict,
-    WorkspaceId, confirmed_hash, key_shard, recover_keys,
+    Offset, RequestId, RunKey, RunSettings, RunTable, Submit, SubmitAnswer, Verdict, WorkspaceId,
+    confirmed_hash, key_shard, recover_keys,
 };
 use proptest::{
     collection::vec,
@@ -51,6 +51,17 @@
     }
 }
 
+fn key_epoch(epoch: u64) -> KeyEpoch {
+    KeyEpoch { shard: 0, epoch }
+}
+
+fn existing(entry: KeyEntry) -> CommitAnswer {
+    CommitAnswer::Existing {
+        entry,
+        finished: false,
+    }
+}
+
 fn claim(epoch: u64, owner: u64, witness: u64) -> Claim {
     Claim {
         epoch,
@@ -62,9 +73,7 @@
 }
 
 fn record(claim: Claim) -> KeysRecord {
-    KeysRecord {
-        change: Some(KeysChange::Claim(claim)),
-    }
+    KeysChange::Claim(claim).into()
 }
 
 /// Fences an epoch in a stream that no sidecar has joined, and returns the evidence.
@@ -77,12 +86,7 @@
         confirmed_hash,
     });
     for change in [fence, done] {
-        members.apply(
-            members.next_offset(),
-            &MembersRecord {
-                change: Some(change),
-            },
-        );
+        members.apply(members.next_offset(), &change.into());
     }
     let done_offset = members.fence_done_offset(FenceTarget::Keys(key_epoch));
     ClaimEvidence {
@@ -247,10 +251,7 @@
         let Some(current) = self.log.last().filter(|_| !self.outage) else {
             return;
         };
-        let key_epoch = KeyEpoch {
-            shard: 0,
-            epoch: current.epoch,
-        };
+        let key_epoch = key_epoch(current.epoch);
         let evidence = fence_keys(&mut self.members, key_epoch);
         let mut records = recover_keys(&self.batches);
         for (index, sidecar) in self.sidecars.iter_mut().enumerate() {
@@ -402,7 +403,7 @@
     }
 
     fn submit(&mut self, key: u8, entry: &KeyEntry, epoch: u64) {
-        let committed_in = KeyEpoch { shard: 0, epoch };
+        let committed_in = key_epoch(epoch);
         let sidecar = usize::try_from(entry.sidecar.0).unwrap_or_default();
         let answer = self.sidecars[sidecar].submit(&Submit {
             id: entry.request_id,
@@ -422,14 +423,10 @@
 
     fn check(&self) {
         for key in 0..KEYS {
-            let starts = self
-                .starts
-                .iter()
-                .filter(|(started, _)| *started == key)
-                .count();
+            let starts = self.starts.iter().filter(|start| start.0 == key);
             assert!(
-                starts <= 1,
-                "key {key} ran {starts} times: {:?}",
+                starts.count() <= 1,
+                "key {key} ran twice: {:?}",
                 self.starts
             );
             if self.may_force {
@@ -456,10 +453,8 @@
             }
             if !actions.is_empty() {
                 let history = History::from_actions(actions);
-                assert!(
-                    WGLChecker::<KeyRegister>::is_linearizable(history),
-                    "key {key}"
-                );
+                let valid = WGLChecker::<KeyRegister>::is_linearizable(history);
+                assert!(valid, "key {key} is not a register");
             }
         }
     }
@@ -547,11 +542,7 @@
         c.receive_update(&late).is_none(),
         "an update of an older epoch"
     );
-    let existing = CommitAnswer::Existing {
-        entry: entry(1, 0),
-        finished: false,
-    };
-    assert_eq!(b.commit(key, entry(3, 0), 0), existing);
+    assert_eq!(b.commit(key, entry(3, 0), 0), existing(entry(1, 0)));
     let other_body = KeyEntry {
         body_hash: 8,
         ..entry(4, 0)
@@ -609,78 +600,45 @@
     d.see_claim(&first, 0);
 
     let mut members = Members::default();
-    let key_epoch = KeyEpoch { shard: 0, epoch: 1 };
-    let evidence = fence_keys(&mut members.clone(), key_epoch);
+    let evidence = fence_keys(&mut members.clone(), key_epoch(1));
     let copy = c.begin_recovery(evidence, &recover_keys(&[batch]), 100, 0);
     let held = d
         .receive_copy(copy.expect("the process is outside"))
         .expect("the copy is new");
     let forced = c.author_claim(&held).expect("the copy is held");
-    let mut shards = KeyShards::default();
-    shards.apply(Offset(0), &record(first), &members);
-    assert_eq!(
-        shards.apply(Offset(1), &record(forced.clone()), &members),
-        Verdict::Behind
-    );
-    fence_keys(
-        &mut members,
-        KeyEpoch {
-            epoch: 2,
-            ..key_epoch
-        },
-    );
-    assert_eq!(
-        shards
-            .clone()
-            .apply(Offset(1), &record(forced.clone()), &members),
-        Verdict::Void
-    );
+    let judge = |claim: &Claim, members: &Members| {
+        let mut shards = KeyShards::default();
+        shards.apply(Offset(0), &record(first.clone()), members);
+        shards.apply(Offset(1), &record(claim.clone()), members)
+    };
+    assert_eq!(judge(&forced, &members), Verdict::Behind);
+    fence_keys(&mut members, key_epoch(2));
+    assert_eq!(judge(&forced, &members), Verdict::Void);
     members = Members::default();
-    assert_eq!(fence_keys(&mut members, key_epoch), evidence);
-    fence_keys(
-        &mut members,
-        KeyEpoch {
-            epoch: 2,
-            ..key_epoch
-        },
-    );
+    assert_eq!(fence_keys(&mut members, key_epoch(1)), evidence);
+    fence_keys(&mut members, key_epoch(2));
     let bare = Claim {
         evidence: None,
         ..forced.clone()
     };
-    assert_eq!(
-        shards.clone().apply(Offset(1), &record(bare), &members),
-        Verdict::Void
-    );
-    assert_eq!(
-        shards.apply(Offset(1), &record(forced.clone()), &members),
-        Verdict::Valid
-    );
+    assert_eq!(judge(&bare, &members), Verdict::Void);
+    assert_eq!(judge(&forced, &members), Verdict::Valid);
 
     c.see_claim(&forced, 0);
     d.see_claim(&forced, 0);
-    let existing = CommitAnswer::Existing {
-        entry: entry(1, 0),
-        finished: false,
-    };
-    assert_eq!(c.commit(key, entry(2, 0), 99), existing);
+    assert_eq!(c.commit(key, entry(2, 0), 99), existing(entry(1, 0)));
     assert_eq!(
         c.rebind(key, &entry(1, 0), entry(2, 0), 99),
         CommitAnswer::Unknown
     );
-    assert_eq!(
-        c.commit(KeyHash([2; 16]), entry(3, 0), 99),
-        CommitAnswer::Unknown
-    );
+    let other = KeyHash([2; 16]);
+    assert_eq!(c.commit(other, entry(3, 0), 99), CommitAnswer::Unknown);
     assert!(matches!(
-        c.commit(KeyHash([2; 16]), entry(3, 0), 100),
+        c.commit(other, entry(3, 0), 100),
         CommitAnswer::New(_)
     ));
     install(&mut d, &mut replica(5));
-    assert_eq!(
-        d.commit(KeyHash([2; 16]), entry(3, 0), 99),
-        CommitAnswer::Unknown
-    );
+    assert_eq!(d.commit(other, entry(3, 0), 99), CommitAnswer::Unknown);
 }
 
 #[test]
--- a/crates/mallowpath/tests/members.rs
+++ b/crates/mallowpath/tests/members.rs
@@ -2,7 +2,7 @@
 
 use mallowpath::{
     Fence, FenceDone, FenceTarget, Incarnation, Join, KeyEpoch, Leave, Members, MembersChange,
-    MembersCheckpoint, MembersRecord, Offset, Verdict, confirmed_hash,
+    MembersCheckpoint, Offset, Verdict, confirmed_hash,
 };
 use proptest::{
     collection::vec,
@@ -49,12 +49,7 @@
 }
 
 fn apply(members: &mut Members, change: MembersChange) -> Verdict {
-    members.apply(
-        members.next_offset(),
-        &MembersRecord {
-            change: Some(change),
-        },
-    )
+    members.apply(members.next_offset(), &change.into())
 }
 
 fn change(kind: u8, a: u64, b: u64, c: u64) -> MembersChange {
--- a/crates/mallowpath/tests/order.rs
+++ b/crates/mallowpath/tests/order.rs
@@ -71,6 +71,15 @@
             } else if let Some(order) = queue.start_next(now_ms) {
                 assert!(last_ms.is_none_or(|last_ms| now_ms >= last_ms + settings.interval_ms));
                 assert!(waiting.iter().all(|(_, need)| *need <= order.need));
+                // Among equal needs, the zone with the fewest loads goes first.
+                let zone_of = |name: &str| name.ends_with(['1', '3', '5', '7']);
+                let in_zone = |name: &str| {
+                    running.iter().filter(|other: &&String| zone_of(other) == zone_of(name)).count()
+                };
+                for (backend, need) in &waiting {
+                    let spread = in_zone(&format!("b{backend}")) >= in_zone(order.backend.as_str());
+                    assert!(spread || *need < order.need);
+                }
                 last_ms = Some(now_ms);
                 running.push(order.backend.to_string());
                 waiting.retain(|(waiting, _)| format!("b{waiting}") != order.backend.to_string());
@@ -83,27 +92,21 @@
 #[test]
 fn the_first_of_two_racing_claims_is_valid() {
     let mut orders = Orders::default();
-    let claim = |author, previous_fence| {
+    let claim = |author, previous_fence| -> OrdersRecord {
         let claim = OrderClaim {
             backend: String::from("b"),
             author,
             previous_fence,
         };
-        OrdersRecord {
-            change: Some(OrdersChange::Claim(claim)),
-        }
+        OrdersChange::Claim(claim).into()
     };
     assert_eq!(orders.apply(Offset(0), &claim(1, 0)), Verdict::Valid);
     assert_eq!(orders.apply(Offset(1), &claim(2, 0)), Verdict::Void);
     assert_eq!(orders.apply(Offset(2), &claim(1, 0)), Verdict::Void);
     orders = Orders::from_checkpoint(&orders.checkpoint());
     assert_eq!(orders.apply(Offset(3), &claim(2, 1)), Verdict::Valid);
-    assert_eq!(
-        orders
-            .right(&"b".parse().expect("a name"))
-            .map(|right| right.fence),
-        Some(4)
-    );
+    let right = orders.right(&"b".parse().expect("a name"));
+    assert_eq!(right.map(|right| right.fence), Some(4));
 }
 
 #[test]
