--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -267,8 +267,7 @@
             model: job.service.kind == ServiceKind::Model,
             sidecar: 0,
             lowest_open: self.bills.logged_below(),
-            key: Bytes::new(),
-            key_owner: 0,
+            key: None,
         }
     }
 
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -125,8 +125,8 @@
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use logging::{start_logging, wall_clock_ms};
 pub use members::{
-    Fence, FenceDone, FencedAt, Join, JoinedAt, Leave, Members, MembersChange, MembersCheckpoint,
-    MembersRecord, confirmed_hash,
+    Fence, FenceDone, FenceTarget, FencedAt, Join, JoinedAt, KeyEpoch, Leave, Members,
+    MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash,
 };
 pub use order::{
     OrderAnswer, OrderClaim, OrderGate, OrderRight, OrderRightRecord, OrderSettings, Orders,
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -7,12 +7,13 @@
     job::bill_outcome,
     key::KeyHash,
     link::{Responder, now_ms},
+    members::Fence,
     run::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
     sidecar::{Sidecar, Signal},
     wallet::SlicePart,
     wire::{
-        self, Attach, BillsLogged, Body, CallFailed, Chunk, Done, End, Fence, Fenced, Refused,
-        Stop, Submit,
+        self, Attach, BillsLogged, Body, CallFailed, Chunk, Done, End, Fenced, Refused, Stop,
+        Submit, SubmitKey,
     },
 };
 use std::sync::Arc;
@@ -86,6 +87,7 @@
         }
         SubmitAnswer::Tombstoned => ("tombstoned", 0),
         SubmitAnswer::Fenced(_) => ("fenced", 0),
+        SubmitAnswer::EpochFenced => ("epoch_fenced", 0),
         SubmitAnswer::Leaving => ("leaving", 0),
         SubmitAnswer::OtherIncarnation => ("other_incarnation", 0),
         SubmitAnswer::Full { retry_after_ms } => ("full", retry_after_ms),
@@ -101,13 +103,7 @@
 }
 
 fn run_submit(submit: &Submit) -> RunSubmit {
-    let mut key = None;
-    if let Ok(hash) = <[u8; 16]>::try_from(submit.key.as_ref()) {
-        key = Some(RunKey {
-            hash: KeyHash(hash),
-            owner: Incarnation(submit.key_owner),
-        });
-    }
+    let key = submit.key.as_ref().and_then(run_key);
     RunSubmit {
         id: submit.request.into(),
         sidecar: Incarnation(submit.sidecar),
@@ -117,6 +113,15 @@
     }
 }
 
+fn run_key(key: &SubmitKey) -> Option<RunKey> {
+    let hash = <[u8; 16]>::try_from(key.hash.as_ref()).ok()?;
+    Some(RunKey {
+        hash: KeyHash(hash),
+        body_hash: key.body_hash,
+        committed_in: key.committed_in,
+    })
+}
+
 /// Runs a request at the backend server and keeps its answer and its bill.
 async fn run(sidecar: &Arc<Sidecar>, id: RequestId, submit: Submit) {
     let Some(signal) = sidecar.runs().signals.get(&id).map(Arc::clone) else {
@@ -276,15 +281,15 @@
 }
 
 async fn serve_fence(sidecar: &Arc<Sidecar>, fence: &Fence, responder: &Responder) {
-    let incarnation = Incarnation(fence.incarnation);
+    let Some(target) = fence.target else { return };
     let idle = {
         let mut runs = sidecar.runs();
-        for id in runs.table.fence(incarnation) {
+        for id in runs.table.fence(target) {
             if let Some(signal) = runs.signals.get(&id) {
                 signal.stop.cancel();
             }
         }
-        runs.table.fence_done(incarnation)
+        runs.table.fence_done(target)
     };
     answer(
         responder,
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -4,7 +4,10 @@
 //! with odd numbers, the other side with even ones, so the two never meet. Call 0 carries what
 //! belongs to the connection itself: [`Hello`] and [`Heartbeat`].
 
-use crate::id::{GrantId, Incarnation, RequestId, SliceId};
+use crate::{
+    id::{GrantId, Incarnation, RequestId, SliceId},
+    members::{Fence, KeyEpoch},
+};
 
 /// One message on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -74,7 +77,7 @@
     /// The answer to [`FetchConfig`].
     #[prost(message, tag = "18")]
     ConfigRecords(ConfigRecords),
-    /// Router to sidecar: never run anything again for an incarnation.
+    /// Router to sidecar: refuse from now on what the fence names.
     #[prost(message, tag = "19")]
     Fence(Fence),
     /// Sidecar to router: the fence holds and nothing runs.
@@ -227,12 +230,23 @@
     /// The lowest sequence number that the router may still submit.
     #[prost(uint64, tag = "14")]
     pub lowest_open: u64,
-    /// Hash of the idempotency key, 16 bytes, if the request has one.
-    #[prost(bytes = "bytes", tag = "15")]
-    pub key: bytes::Bytes,
-    /// The owner of the key's shard that committed the key.
-    #[prost(fixed64, tag = "16")]
-    pub key_owner: u64,
+    /// The idempotency key, if the request has one.
+    #[prost(message, optional, tag = "15")]
+    pub key: Option<SubmitKey>,
+}
+
+/// The idempotency key of a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SubmitKey {
+    /// The 16 bytes of the key's hash.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub hash: bytes::Bytes,
+    /// Hash of method, path and body.
+    #[prost(fixed64, tag = "2")]
+    pub body_hash: u64,
+    /// The epoch of the key shard in which the key was committed.
+    #[prost(message, required, tag = "3")]
+    pub committed_in: KeyEpoch,
 }
 
 /// The share of one slice in a reservation.
@@ -458,14 +472,6 @@
     pub checkpoint: bool,
 }
 
-/// Asks a sidecar to fence an incarnation.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct Fence {
-    /// The incarnation.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
-}
-
 /// A sidecar's confirmation of a fence.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Fenced {
