Do not draw a backend that others keep busy for its few own requests

Cause: with many own requests the draw is among the backends with the fewest own ones. A backend that other routers keep busy is avoided at first, so it has the fewest own requests and is then the only one drawn: 64 of 2,000 choices went to a backend with 60 requests of others, where none should.

Ruled out: drawing from all backends with at most the mean of own requests.

Change: backends above twice the mean load are left out of that draw.

--- a/crates/mallowpath/src/candidates.rs
+++ b/crates/mallowpath/src/candidates.rs
@@ -26,6 +26,9 @@
 /// Own counts differ between routers, so that routers which follow them do not run to one backend.
 const POOL_OWN_WEIGHT: f64 = 0.5;
 
+/// The load, as a multiple of the mean, from which a backend is not drawn for its few own requests.
+const POOL_LOAD_MAX: f64 = 2.0;
+
 impl<'a> Field<'a> {
     pub(crate) fn new(backends: &'a [Backend], eligible: Vec<usize>, now_ms: u64) -> Self {
         let mut own = 0.0;
@@ -89,7 +92,7 @@
         now_ms: u64,
         draw: u64,
     ) -> Vec<usize> {
-        let mut candidates = draw_some(&self.pool(), choices, draw);
+        let mut candidates = draw_some(&self.pool(now_ms), choices, draw);
         candidates.extend(self.best_holder(request, now_ms));
         candidates.extend(home);
         if request.adapter.is_some() {
@@ -99,14 +102,21 @@
     }
 
     /// Returns the backends to draw from: those with the fewest own requests, if these are many.
-    fn pool(&self) -> Vec<usize> {
+    ///
+    /// Backends far above the mean load are left out: others keep them busy, and because this
+    /// router avoids them, they would always have the fewest own requests.
+    fn pool(&self, now_ms: u64) -> Vec<usize> {
         if self.own_weight < POOL_OWN_WEIGHT {
             return self.eligible.clone();
         }
         let mut pool = Vec::new();
         let mut fewest = u64::MAX;
         for &index in &self.eligible {
-            let own = self.backends[index].own_in_flight();
+            let backend = &self.backends[index];
+            if backend.load(now_ms) > self.mean_load * POOL_LOAD_MAX {
+                continue;
+            }
+            let own = backend.own_in_flight();
             if own < fewest {
                 pool.clear();
                 fewest = own;
