--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -17,16 +17,20 @@
 mod checkpoint;
 mod checkpoint_reader;
 mod claim_verdict;
+mod concurrency;
 mod config_task;
 mod dialer;
+mod eject;
 mod engine;
 mod error;
 mod estimate;
+mod fair;
 mod fleet;
 mod fleet_check;
 mod fleet_read;
 mod follow;
 mod front;
+mod health;
 mod host_client;
 mod http_call;
 mod id;
@@ -44,6 +48,7 @@
 mod ledger;
 mod ledger_records;
 mod limbo;
+mod limit;
 mod link;
 mod load_poll;
 mod load_queue;
@@ -61,6 +66,7 @@
 mod refusal;
 mod rendezvous;
 mod replay;
+mod retry;
 mod route;
 mod router;
 mod router_calls;
@@ -95,12 +101,17 @@
 };
 pub use chat::{ChatRequest, StreamEvent, Usage};
 pub use claim_verdict::ClaimVerdict;
+pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
+pub use eject::{EjectSettings, Outliers};
 pub use error::{Category, Error, Result};
+pub use estimate::Estimate;
+pub use fair::WorkspaceShare;
 pub use fleet::{
     BackendMode, BackendRule, BearerHash, Budget, Fleet, FleetRules, Service, ServiceKind,
     Services, WhenUnconfirmed, Workspace,
 };
 pub use fleet_read::parse_tokens;
+pub use health::{SilenceDetector, SilenceSettings};
 pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
@@ -120,6 +131,9 @@
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
     RecordId, TopUpRecord,
 };
+pub use limit::{
+    Admission, AdmissionRefusal, AdmissionSettings, Admitted, Offer, Polled, RefusalReason,
+};
 pub use link::{Call, Endpoint, Link, LinkSettings, Responder};
 pub use load_queue::{LoadOrder, LoadQueue, LoadSettings};
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
@@ -142,6 +156,7 @@
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
 pub use replay::{ConfigLoader, ConfigState, ConfigVerdict, ConfigVoid, ReplayError};
+pub use retry::{FailedTry, NoRetry, RetryBudget, RetrySettings, TryOutcome};
 pub use route::{Choice, NoBackend, Reason, RouteRequest, RouteSettings, RouteTable};
 pub use router::{Router, RouterAddresses};
 pub use run::{AttachAnswer, RunEnd, RunKey, RunSettings, RunTable, Submit, SubmitAnswer};
