Cut off slow heads and end callers' connections gracefully

Cause: callers were served without any limit on the time for a request's head, so a slow caller held a connection for ever, and a draining router kept idle connections open on which a caller could send a request just before the end. Ruled out: a timeout around whole connections, which would cut long streams. Change: connections served one by one with a head timeout and a graceful end; tests of what callers are told, through the embedded fleet. Before: a_slow_head_is_cut_off failed without the head timeout. After: passes. Conclusion: bad requests get a clear 4xx and cost nothing. That an idle connection ends on drain is not tested.

--- /dev/null
+++ b/crates/embedded/tests/callers.rs
@@ -0,0 +1,248 @@
+//! What callers are told: whole answers with their bill, and clear refusals that cost nothing.
+
+use mallowpath_embedded::{EXAMPLE_KEY, Site, SiteSettings};
+use mallowpath_standins::{
+    client::{self, Answer},
+    expected_text,
+};
+use serde_json::{Value, json};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const CHAT: &str = "POST /v1/chat/completions";
+
+async fn site() -> (Site, SocketAddr) {
+    let mut settings = SiteSettings::default();
+    settings.router_tuning.header_timeout_ms = 300;
+    settings.router_tuning.drain_notice_ms = 50;
+    let site = Site::start(settings).await.expect("the site starts");
+    let callers = site.routers[0].1.callers;
+    (site, callers)
+}
+
+async fn call(callers: SocketAddr, method_path: &str, key: &str, body: &str) -> Answer {
+    let bearer = format!("Bearer {key}");
+    let headers = [("authorization", bearer.as_str())];
+    client::call(callers, method_path, &headers, body)
+        .await
+        .expect("an answer")
+}
+
+fn chat(model: &str, extra: &Value) -> String {
+    let mut body = json!({"model": model, "messages": [{"role": "user", "content": "Hello"}]});
+    for (key, value) in extra.as_object().expect("an object") {
+        body[key] = value.clone();
+    }
+    body.to_string()
+}
+
+/// Returns the tokens that the ledger counts as spent or granted.
+async fn not_left(site: &Site) -> u64 {
+    let admin = site.routers[0].1.admin;
+    let dump = client::call(admin, "GET /dump", &[], "")
+        .await
+        .expect("a dump")
+        .json();
+    let mut taken = 0;
+    let shards = dump["budgets"]["keeper_of_shards"]
+        .as_object()
+        .cloned()
+        .unwrap_or_default();
+    for shard in shards.values() {
+        let budget = &shard["budgets"]["demo-prepaid"];
+        taken += budget["spent"].as_u64().unwrap_or(0);
+        taken += budget["granted"].as_u64().unwrap_or(0);
+    }
+    taken
+}
+
+#[tokio::test]
+async fn streamed_answer_is_whole_and_billed() {
+    let (_site, callers) = site().await;
+    let body = chat("small", &json!({"stream": true, "max_tokens": 7}));
+    let answer = call(callers, CHAT, EXAMPLE_KEY, &body).await;
+    let mut text = String::new();
+    let mut events = Vec::new();
+    for line in answer.text.lines() {
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        events.push(data.to_owned());
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        text.push_str(
+            event["choices"][0]["delta"]["content"]
+                .as_str()
+                .unwrap_or(""),
+        );
+    }
+    assert_eq!(events.last().map(String::as_str), Some("[DONE]"));
+    assert_eq!(text, expected_text("small", "Hello", 7));
+    let receipt: Value = serde_json::from_str(&events[events.len() - 2]).expect("a receipt");
+    assert_eq!(receipt["mallowpath"]["billed_tokens"], 9);
+}
+
+#[tokio::test]
+async fn models_lists_what_the_workspace_may_call() {
+    let (_site, callers) = site().await;
+    let answer = call(callers, "GET /v1/models", EXAMPLE_KEY, "")
+        .await
+        .json();
+    let mut names = Vec::new();
+    for model in answer["data"].as_array().expect("a list") {
+        names.push(model["id"].as_str().expect("a name").to_owned());
+    }
+    assert_eq!(names, ["small", "small:notices"]);
+}
+
+#[tokio::test]
+async fn bad_requests_are_refused_clearly_and_cost_nothing() {
+    let (site, callers) = site().await;
+    let oversize = "x".repeat(5 << 20);
+    let none = json!({});
+    let cases = [
+        (
+            "broken JSON",
+            CHAT,
+            EXAMPLE_KEY,
+            "{".to_owned(),
+            400,
+            "invalid_request",
+        ),
+        (
+            "no messages",
+            CHAT,
+            EXAMPLE_KEY,
+            json!({"model": "small"}).to_string(),
+            400,
+            "invalid_request",
+        ),
+        (
+            "zero cap",
+            CHAT,
+            EXAMPLE_KEY,
+            chat("small", &json!({"max_tokens": 0})),
+            400,
+            "invalid_request",
+        ),
+        (
+            "oversize",
+            CHAT,
+            EXAMPLE_KEY,
+            oversize,
+            413,
+            "body_too_large",
+        ),
+        (
+            "unknown model",
+            CHAT,
+            EXAMPLE_KEY,
+            chat("large", &none),
+            404,
+            "not_found",
+        ),
+        (
+            "unknown adapter",
+            CHAT,
+            EXAMPLE_KEY,
+            chat("small:none", &none),
+            404,
+            "not_found",
+        ),
+        (
+            "wrong key",
+            CHAT,
+            "nobody",
+            chat("small", &none),
+            401,
+            "unauthorized",
+        ),
+        (
+            "unknown service",
+            "POST /services/none/a",
+            EXAMPLE_KEY,
+            String::new(),
+            404,
+            "not_found",
+        ),
+        (
+            "unknown path",
+            "GET /v2/none",
+            EXAMPLE_KEY,
+            String::new(),
+            404,
+            "not_found",
+        ),
+    ];
+    for (name, path, key, body, status, code) in cases {
+        let answer = call(callers, path, key, &body).await;
+        assert_eq!(answer.status, status, "{name}: {}", answer.text);
+        let error = &answer.json()["error"];
+        assert_eq!(error["code"], code, "{name}");
+        assert_eq!(error["outcome"], "not_run", "{name}");
+        assert!(
+            error["message"]
+                .as_str()
+                .is_some_and(|text| !text.is_empty()),
+            "{name}"
+        );
+    }
+    assert_eq!(not_left(&site).await, 0);
+}
+
+#[tokio::test]
+async fn a_huge_cap_is_lowered_to_what_the_service_allows() {
+    let (_site, callers) = site().await;
+    let body = chat(
+        "small",
+        &json!({"max_tokens": 1_000_000_000_u64, "standin_tokens": 3}),
+    );
+    let answer = call(callers, CHAT, EXAMPLE_KEY, &body).await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    assert_eq!(answer.json()["mallowpath"]["billed_tokens"], 5);
+}
+
+#[tokio::test]
+async fn a_slow_head_is_cut_off() {
+    let (_site, callers) = site().await;
+    let mut stream = TcpStream::connect(callers).await.expect("a connection");
+    stream
+        .write_all(b"POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\n")
+        .await
+        .expect("sent");
+    let started = Instant::now();
+    let mut rest = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(3), stream.read_to_end(&mut rest)).await;
+    assert!(read.is_ok(), "the connection stayed open");
+    assert!(
+        started.elapsed() >= Duration::from_millis(250),
+        "cut off before its time"
+    );
+}
+
+#[tokio::test]
+async fn a_draining_router_refuses_new_work_and_finishes_the_old() {
+    let (site, callers) = site().await;
+    let body = chat("small", &json!({"stream": true, "max_tokens": 60}));
+    let running = tokio::spawn(async move { call(callers, CHAT, EXAMPLE_KEY, &body).await });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let router = &site.routers[0].0;
+    router.drain();
+    let refused = call(callers, CHAT, EXAMPLE_KEY, &chat("small", &json!({}))).await;
+    assert_eq!(refused.json()["error"]["code"], "shutting_down");
+    assert_eq!(refused.json()["error"]["outcome"], "not_run");
+    let answer = running.await.expect("the caller's task");
+    assert!(
+        answer.whole && answer.text.ends_with("data: [DONE]\n\n"),
+        "{}",
+        answer.text
+    );
+    tokio::time::timeout(Duration::from_secs(10), router.drained())
+        .await
+        .expect("drained");
+}
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -11,6 +11,7 @@
 mod bill_shelf;
 mod bills;
 mod budgets;
+mod callers;
 mod candidates;
 mod change;
 mod chat;
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -6,6 +6,7 @@
     admin::{Hooks, bind, serve_admin},
     bills::{Bills, LOST_ROUTER_MS},
     budgets::Budgets,
+    callers::serve_callers,
     config_task::Configuration,
     dialer::Dialer,
     error::Result,
@@ -56,6 +57,8 @@
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
     draining: AtomicBool,
+    /// Cancelled when callers' connections are to end behind their answers.
+    closing: CancellationToken,
     /// Cancelled when the process may end.
     ended: CancellationToken,
 }
@@ -115,6 +118,7 @@
                 peers_seen: PeersSeen::default(),
                 hosts,
                 draining: AtomicBool::new(false),
+                closing: CancellationToken::new(),
                 ended: CancellationToken::new(),
                 settings,
             }
@@ -132,11 +136,9 @@
 
     fn spawn_tasks(self: &Arc<Self>, callers: TcpListener, peers: TcpListener) {
         let app = front::routes(Arc::clone(self));
-        tokio::spawn(async move {
-            if let Err(error) = axum::serve(callers, app).await {
-                log::error!("the callers' listener ended: {error}");
-            }
-        });
+        let header_timeout_ms = self.settings.tuning.header_timeout_ms;
+        let closing = self.closing.clone();
+        tokio::spawn(serve_callers(callers, app, header_timeout_ms, closing));
         tokio::spawn(Arc::clone(self).accept(peers));
         tokio::spawn(Arc::clone(self).follow_hosts());
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
@@ -156,6 +158,7 @@
                 router.settings.tuning.drain_notice_ms,
             ))
             .await;
+            router.closing.cancel();
             router.running.idle().await;
             crate::bills::settle_all(&router).await;
             crate::budgets::return_all(&router).await;
