Let the key model spend its steps on runs

Broken rules for revisions were not caught.

Change: the model begins with a pair, and answers go back to their sender. Late copies of a binding and of its acknowledgement have a test of their own.

Rebinding an unknown key is now caught by the model too. Seen to fail besides: acknowledgement of any revision taken, older revision stored over a newer one, submit for another sidecar incarnation accepted.

--- a/crates/mallowpath/tests/key_shards.rs
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -121,11 +121,18 @@
     }
 }
 
+/// From one process of the model to another.
+#[derive(Debug, Clone, Copy)]
+struct Route {
+    from: usize,
+    to: usize,
+}
+
 #[derive(Debug, Clone)]
 enum Message {
-    Update(usize, KeyUpdate),
+    Update(Route, KeyUpdate),
     Ack(usize, KeyAck),
-    Copy(usize, KeyCopy),
+    Copy(Route, KeyCopy),
     Held(usize, KeyCopyHeld),
     Append(Claim),
     Submit(u8, KeyEntry, u64),
@@ -164,10 +171,15 @@
             };
             sidecars.push(RunTable::new(Incarnation(sidecar), settings, []));
         }
+        let mut processes: Vec<KeyReplica> = (1..=PROCESSES as u64).map(replica).collect();
+        let [owner, witness, ..] = processes.as_mut_slice() else {
+            panic!("the model has two processes at least");
+        };
+        let first = install(owner, witness);
         Self {
-            processes: (1..=PROCESSES as u64).map(replica).collect(),
-            read: vec![0; PROCESSES],
-            log: Vec::new(),
+            processes,
+            read: vec![1, 1, 0, 0],
+            log: vec![first],
             outage: false,
             network: Vec::new(),
             sidecars,
@@ -242,7 +254,13 @@
 
     fn begin_claim(&mut self, process: usize, witness: usize) {
         if let Some(copy) = self.processes[process].begin_claim(0) {
-            self.network.push(Message::Copy(witness, copy));
+            self.network.push(Message::Copy(
+                Route {
+                    from: process,
+                    to: witness,
+                },
+                copy,
+            ));
         }
     }
 
@@ -266,18 +284,25 @@
         if !complete {
             records = recover_keys(&self.batches);
         }
-        let process = &mut self.processes[process];
-        if process.epoch() == current.epoch
-            && let Some(copy) = process.begin_recovery(evidence, &records, unknown_ms, 0)
+        let claimant = &mut self.processes[process];
+        if claimant.epoch() == current.epoch
+            && let Some(copy) = claimant.begin_recovery(evidence, &records, unknown_ms, 0)
         {
-            self.network.push(Message::Copy(witness, copy));
+            self.network.push(Message::Copy(
+                Route {
+                    from: process,
+                    to: witness,
+                },
+                copy,
+            ));
         }
     }
 
     fn send_update(&mut self, from: usize, update: &KeyUpdate) {
         for to in 0..PROCESSES {
             if to != from {
-                self.network.push(Message::Update(to, update.clone()));
+                self.network
+                    .push(Message::Update(Route { from, to }, update.clone()));
             }
         }
     }
@@ -360,12 +385,9 @@
 
     fn deliver(&mut self, message: Message) {
         match message {
-            Message::Update(to, update) => {
+            Message::Update(Route { from, to }, update) => {
                 let ack = self.processes[to].receive_update(&update);
-                for owner in 0..PROCESSES {
-                    self.network
-                        .extend(ack.clone().map(|ack| Message::Ack(owner, ack)));
-                }
+                self.network.extend(ack.map(|ack| Message::Ack(from, ack)));
             }
             Message::Ack(to, ack) => {
                 if let Some((_, entry)) = self.processes[to].acknowledge(&ack) {
@@ -373,12 +395,10 @@
                     self.committed(to, number);
                 }
             }
-            Message::Copy(to, copy) => {
+            Message::Copy(Route { from, to }, copy) => {
                 let held = self.processes[to].receive_copy(copy);
-                for from in 0..PROCESSES {
-                    self.network
-                        .extend(held.clone().map(|held| Message::Held(from, held)));
-                }
+                self.network
+                    .extend(held.map(|held| Message::Held(from, held)));
             }
             Message::Held(to, held) => {
                 let claim = self.processes[to].author_claim(&held);
@@ -567,6 +587,26 @@
     assert!(!b.cancel_claim(), "the claim may be in the log");
 }
 
+#[test]
+fn late_copies_of_messages_change_nothing() {
+    let (mut a, mut b, mut c) = (replica(1), replica(2), replica(3));
+    install(&mut a, &mut b);
+    let key = KeyHash([1; 16]);
+    let CommitAnswer::New(first) = a.commit(key, entry(1, 0), 0) else {
+        panic!("the key is new");
+    };
+    let first_ack = b.receive_update(&first).expect("the witness is not sealed");
+    assert!(a.acknowledge(&first_ack).is_some());
+    let CommitAnswer::New(second) = a.rebind(key, &entry(1, 0), entry(2, 0), 0) else {
+        panic!("the binding is unchanged");
+    };
+    assert_eq!(a.acknowledge(&first_ack), None);
+    assert!(b.receive_update(&second).is_some());
+    assert_eq!(b.receive_update(&first), None);
+    install(&mut b, &mut c);
+    assert_eq!(b.commit(key, entry(3, 0), 0), existing(entry(2, 0)));
+}
+
 #[test]
 fn a_finished_key_expires_at_owner_and_witness() {
     let (mut a, mut b) = (replica(1), replica(2));
