Size grants for budgets that are used seldom

Cause: at 10,000 requests/s over 61,000 budgets and 12 zones, a zone sees a request of a budget every 72 s. Grants sized by rate alone and returned after 10 s idle were drawn and returned for every request.

Change: a draw takes at least 1/256 of what is left; grants stay out 10 minutes unused, but a second once 7/8 of what is unspent is in grants; a keeper begins one batch a second at most.

Test settings: the fleet simulation states its short idle times itself, since with the longer defaults the broken rule "a closing grant keeps its free tokens" went unseen; it is seen again. New tests were seen to fail without floor, share and scarcity.

--- /dev/null
+++ b/crates/mallowpath/examples/grant_churn.rs
@@ -0,0 +1,124 @@
+//! Prints how many ledger records a request costs when many budgets are used seldom.
+//!
+//! One zone's keeper and one router serve a simulated hour; every message arrives at once.
+
+use mallowpath::{
+    BudgetId, Incarnation, Keeper, KeeperSettings, Ledger, ReserveOutcome, Tokens, Version, Wallet,
+    WalletSettings,
+};
+
+const KEEPER: Incarnation = Incarnation(1);
+const BUDGETS: u64 = 200;
+const BUDGET_TOKENS: u64 = 1_000_000;
+const REQUEST_TOKENS: u64 = 600;
+const SPENT_TOKENS: u64 = 280;
+const STEP_MS: u64 = 100;
+const HOUR_MS: u64 = 3_600_000;
+
+struct Figures {
+    requests: u64,
+    short: u64,
+    records: u64,
+    batches: u64,
+    bytes: u64,
+    open_tokens: u64,
+}
+
+fn main() {
+    let eager = KeeperSettings {
+        floor_divisor: u64::MAX,
+        idle_ms: 10_000,
+        batch_interval_ms: 0,
+        ..KeeperSettings::default()
+    };
+    for period_ms in [7_000, 72_000] {
+        print(
+            "no floor, idle 10 s",
+            period_ms,
+            &run(&eager, 2_000, period_ms),
+        );
+        let settings = KeeperSettings::default();
+        let idle_ms = WalletSettings::default().idle_ms;
+        print("default", period_ms, &run(&settings, idle_ms, period_ms));
+    }
+}
+
+fn run(settings: &KeeperSettings, wallet_idle_ms: u64, period_ms: u64) -> Figures {
+    use prost::Message;
+    let mut keeper = Keeper::new(KEEPER, Ledger::default(), settings.clone());
+    let wallet_settings = WalletSettings {
+        idle_ms: wallet_idle_ms,
+        ..WalletSettings::default()
+    };
+    let mut wallet = Wallet::new(Incarnation(2), wallet_settings);
+    let mut budgets = Vec::new();
+    for n in 0..BUDGETS {
+        let budget: BudgetId = format!("budget-{n}").parse().expect("the name is valid");
+        keeper.set_limit(&budget, Version(1), Tokens(BUDGET_TOKENS));
+        budgets.push(budget);
+    }
+    let mut figures = Figures {
+        requests: 0,
+        short: 0,
+        records: 0,
+        batches: 0,
+        bytes: 0,
+        open_tokens: 0,
+    };
+    let mut waiting = Vec::new();
+    for now_ms in (0..HOUR_MS).step_by(100) {
+        for (n, budget) in (0..).zip(&budgets) {
+            let phase_ms = n * period_ms / BUDGETS / STEP_MS * STEP_MS;
+            if now_ms > 2_000 && now_ms % period_ms == phase_ms {
+                waiting.push((budget.clone(), false));
+                figures.requests += 1;
+            }
+        }
+        waiting.retain_mut(|(budget, counted)| {
+            let outcome = wallet.reserve(budget, Tokens(REQUEST_TOKENS), now_ms);
+            let ReserveOutcome::Reserved(reservation) = outcome else {
+                figures.short += u64::from(!*counted);
+                *counted = true;
+                return true;
+            };
+            wallet.settle(reservation, Tokens(SPENT_TOKENS));
+            false
+        });
+        for outgoing in wallet.requests(|_| Some(KEEPER), now_ms) {
+            let reply = keeper.request(&outgoing.request, now_ms);
+            wallet.reply(KEEPER, &reply, now_ms);
+        }
+        for returned in wallet.returns(now_ms) {
+            keeper.return_slice(&returned);
+            wallet.returned(&returned.budget, returned.slice.id);
+        }
+        keeper.tick(now_ms);
+        if let Some(batch) = keeper.batch(now_ms) {
+            figures.batches += 1;
+            figures.records += batch.records.len() as u64;
+            figures.bytes += batch.encoded_len() as u64;
+            let next = keeper.ledger().next();
+            keeper
+                .replay(next, &batch, now_ms)
+                .expect("the offset is next");
+        }
+    }
+    for (_, balance) in keeper.ledger().balances() {
+        figures.open_tokens += balance.open.0;
+    }
+    figures
+}
+
+fn print(name: &str, period_ms: u64, figures: &Figures) {
+    let requests = figures.requests as f64;
+    println!(
+        "{name}, a request each {period_ms} ms a budget: {} requests, {} had to wait; per request \
+         {:.3} records, {:.1} bytes; {:.2} appends/s; {:.2}% of the budgets in open grants",
+        figures.requests,
+        figures.short,
+        figures.records as f64 / requests,
+        figures.bytes as f64 / requests,
+        figures.batches as f64 * 1_000.0 / HOUR_MS as f64,
+        figures.open_tokens as f64 * 100.0 / (BUDGETS * BUDGET_TOKENS) as f64,
+    );
+}
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -23,12 +23,17 @@
     pub horizon_ms: u64,
     /// One draw or slice takes at most what is left divided by this, unless a request needs more.
     pub share_divisor: u64,
+    /// One draw takes at least what is left divided by this, so that budgets used seldom
+    /// don't cost a record a request.
+    pub floor_divisor: u64,
     /// A grant of a budget that had no request for this long is returned.
     pub idle_ms: u64,
-    /// The same while nothing is left outside of grants.
+    /// The same while most of what is unspent is in grants.
     pub scarce_idle_ms: u64,
     /// A batch not read back after this long is appended again.
     pub retry_ms: u64,
+    /// The shortest time between two new batches.
+    pub batch_interval_ms: u64,
     /// The most records of one batch.
     pub max_batch_records: usize,
 }
@@ -182,7 +187,8 @@
                 retry_after_ms: self.retry_after_ms(),
             };
         }
-        let share = Tokens(free.saturating_add(balance.left()).0 / self.settings.share_divisor);
+        let reachable = free.saturating_add(balance.left());
+        let share = Tokens(reachable.0 / self.settings.share_divisor.max(1));
         let tokens = request.expected.min(share).max(needed).min(free);
         account.rate.add(tokens, now_ms);
         let slices = account.cut(request, tokens, self.incarnation, &mut self.last_slice);
@@ -226,8 +232,8 @@
         if account.draw.is_some() || balance.left() == Tokens::ZERO {
             return;
         }
-        let share = Tokens(balance.left().0 / self.settings.share_divisor);
-        let tokens = account.rate.expected(now_ms).min(share).max(needed);
+        let expected = account.rate.expected(now_ms);
+        let tokens = self.settings.size(expected, balance.left()).max(needed);
         if tokens == Tokens::ZERO {
             return;
         }
@@ -328,11 +334,11 @@
     }
 
     fn close_grants(&mut self, budget: &BudgetId, now_ms: u64) {
-        let left = self.ledger.balance(budget).unwrap_or_default().left();
+        let balance = self.ledger.balance(budget).unwrap_or_default();
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
-        let scarce = left == Tokens::ZERO;
+        let scarce = balance.left().0 <= balance.unspent().0 / self.settings.share_divisor.max(1);
         let idle_ms = if scarce {
             self.settings.scarce_idle_ms
         } else {
@@ -358,30 +364,37 @@
     ///
     /// One batch is under way at a time. It is returned again, unchanged, until it is read back.
     pub fn batch(&mut self, now_ms: u64) -> Option<LedgerBatch> {
-        self.outbox.batch(
-            self.settings.retry_ms,
-            self.settings.max_batch_records,
-            now_ms,
-        )
+        self.outbox.batch(&self.settings, now_ms)
     }
 }
 
 /// An account without grants is forgotten after this many idle periods.
 ///
 /// A copy of a request that arrives later still can strand a slice until this incarnation ends.
-const FORGET_IDLE_PERIODS: u64 = 60;
+const FORGET_IDLE_PERIODS: u64 = 6;
 
 /// The longest wait asked of a router, in retry periods.
 const MAX_RETRY_FACTOR: u64 = 10;
 
+impl KeeperSettings {
+    /// Returns how much to draw of what is left for an expected use.
+    fn size(&self, expected: Tokens, left: Tokens) -> Tokens {
+        let most = Tokens(left.0 / self.share_divisor.max(1));
+        let least = Tokens(left.0 / self.floor_divisor.max(1));
+        expected.max(least).min(most)
+    }
+}
+
 impl Default for KeeperSettings {
     fn default() -> Self {
         Self {
             horizon_ms: 2_000,
             share_divisor: 8,
-            idle_ms: 10_000,
+            floor_divisor: 256,
+            idle_ms: 600_000,
             scarce_idle_ms: 1_000,
             retry_ms: 500,
+            batch_interval_ms: 1_000,
             max_batch_records: 4_096,
         }
     }
--- a/crates/mallowpath/src/outbox.rs
+++ b/crates/mallowpath/src/outbox.rs
@@ -1,6 +1,6 @@
 //! Records on their way into a ledger stream.
 
-use crate::{Incarnation, LedgerBatch, LedgerRecord};
+use crate::{Incarnation, KeeperSettings, LedgerBatch, LedgerRecord};
 
 /// Batches the records of one author and repeats each batch until it is read back.
 ///
@@ -10,6 +10,7 @@
     author: Incarnation,
     last_batch: u64,
     queue: Vec<LedgerRecord>,
+    batched_ms: Option<u64>,
     in_flight: Option<InFlight>,
 }
 
@@ -26,6 +27,7 @@
             author,
             last_batch: 0,
             queue: Vec::new(),
+            batched_ms: None,
             in_flight: None,
         }
     }
@@ -53,24 +55,23 @@
     }
 
     /// Returns the batch to append now, if any.
-    pub(crate) fn batch(
-        &mut self,
-        retry_ms: u64,
-        max_records: usize,
-        now_ms: u64,
-    ) -> Option<LedgerBatch> {
+    pub(crate) fn batch(&mut self, settings: &KeeperSettings, now_ms: u64) -> Option<LedgerBatch> {
         if let Some(in_flight) = &mut self.in_flight {
-            if now_ms.saturating_sub(in_flight.appended_ms) < retry_ms {
+            if now_ms.saturating_sub(in_flight.appended_ms) < settings.retry_ms {
                 return None;
             }
             in_flight.appended_ms = now_ms;
             in_flight.attempts += 1;
             return Some(in_flight.batch.clone());
         }
-        if self.queue.is_empty() {
+        let due_ms = self
+            .batched_ms
+            .map_or(0, |last| last.saturating_add(settings.batch_interval_ms));
+        if self.queue.is_empty() || now_ms < due_ms {
             return None;
         }
-        let count = self.queue.len().min(max_records.max(1));
+        self.batched_ms = Some(now_ms);
+        let count = self.queue.len().min(settings.max_batch_records.max(1));
         let records = self.queue.drain(..count).collect();
         self.last_batch += 1;
         let batch = LedgerBatch {
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -374,7 +374,7 @@
     fn default() -> Self {
         Self {
             horizon_ms: 2_000,
-            idle_ms: 2_000,
+            idle_ms: 10_000,
             retry_ms: 200,
         }
     }
--- a/crates/mallowpath/tests/keeper.rs
+++ b/crates/mallowpath/tests/keeper.rs
@@ -1,14 +1,15 @@
 //! Keepers, wallets and the ledger together, under lost, repeated, late and reordered messages.
 
 use mallowpath::{
-    BudgetId, Incarnation, Keeper, KeeperSettings, Ledger, LedgerBatch, LedgerEntry, LedgerRecord,
-    Offset, OutgoingRequest, Reservation, ReserveOutcome, SliceAnswer, SliceId, SliceReply,
-    SliceRequest, SliceReturn, Tokens, TopUpRecord, Version, Wallet, WalletSettings,
+    BudgetId, GrantId, Incarnation, Keeper, KeeperSettings, Ledger, LedgerBatch, LedgerEntry,
+    LedgerRecord, Offset, OutgoingRequest, Reservation, ReserveOutcome, SliceAnswer, SliceId,
+    SliceReply, SliceRequest, SliceReturn, Tokens, TopUpRecord, Version, Wallet, WalletSettings,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
 const KEEPERS: usize = 2;
 const ROUTERS: usize = 3;
+const IDLE_MS: u64 = 10_000;
 
 #[derive(Debug, Clone)]
 enum Message {
@@ -54,12 +55,22 @@
     fn new() -> Self {
         let mut keepers = Vec::new();
         for index in 0..KEEPERS {
-            let settings = KeeperSettings::default();
+            // Short times and no floor, so that grants open, close and shrink often.
+            let settings = KeeperSettings {
+                floor_divisor: u64::MAX,
+                idle_ms: IDLE_MS,
+                batch_interval_ms: 0,
+                ..KeeperSettings::default()
+            };
             keepers.push(Keeper::new(keeper_id(index), Ledger::default(), settings));
         }
         let mut routers = Vec::new();
         for index in 0..ROUTERS {
-            let wallet = Wallet::new(router_id(index), WalletSettings::default());
+            let settings = WalletSettings {
+                idle_ms: IDLE_MS / 5,
+                ..WalletSettings::default()
+            };
+            let wallet = Wallet::new(router_id(index), settings);
             routers.push(Router {
                 wallet,
                 running: Vec::new(),
@@ -241,6 +252,7 @@
     /// Lets everything arrive and everyone fall idle.
     fn quiesce(&mut self) {
         for round in 0..100 {
+            self.now_ms += IDLE_MS / 10;
             for index in 0..ROUTERS {
                 while !self.routers[index].running.is_empty() {
                     self.settle(index, 0, round);
@@ -403,7 +415,7 @@
     fleet.replay(0, 1);
     let exhausted = fleet.keepers[0].request(&request(1, 501), 0).answer;
     assert_eq!(exhausted, SliceAnswer::Exhausted);
-    let grant = mallowpath::GrantId {
+    let grant = GrantId {
         incarnation: keeper_id(1),
         sequence: 1,
     };
@@ -454,3 +466,102 @@
     keeper.set_limit(&budget(), Version(2), Tokens(5));
     assert_eq!(keeper.batch(0), None);
 }
+
+/// Returns what the next draw of a default keeper asks for when `taken` of 102,400 are out.
+fn next_draw(taken: u64, needed: u64, expected: u64) -> u64 {
+    let mut keeper = Keeper::new(keeper_id(0), Ledger::default(), KeeperSettings::default());
+    let other = GrantId {
+        incarnation: keeper_id(1),
+        sequence: 1,
+    };
+    let records = vec![
+        LedgerRecord::limit(&budget(), Version(1), Tokens(102_400)),
+        LedgerRecord::draw(&budget(), other, Tokens(taken)),
+    ];
+    let batch = LedgerBatch {
+        author: 1,
+        sequence: 1,
+        records,
+    };
+    keeper
+        .replay(Offset(0), &batch, 0)
+        .expect("the offset is next");
+    let mut request = request(1, needed);
+    request.expected = Tokens(expected);
+    keeper.request(&request, 0);
+    let batch = keeper.batch(0).expect("a draw is due");
+    keeper
+        .replay(Offset(1), &batch, 0)
+        .expect("the offset is next");
+    keeper.ledger().open_grants(keeper_id(0))[0].2.0
+}
+
+#[test]
+fn grants_have_a_floor_and_shrink_near_the_end_of_a_budget() {
+    assert_eq!(next_draw(0, 10, 10), 400);
+    assert_eq!(next_draw(51_200, 10, 10), 200);
+    assert_eq!(next_draw(102_300, 10, 10), 10);
+    assert_eq!(next_draw(0, 900, 900), 900);
+}
+
+#[test]
+fn idle_grants_return_sooner_while_most_of_a_budget_is_out() {
+    let mut keeper = Keeper::new(keeper_id(0), Ledger::default(), KeeperSettings::default());
+    keeper.set_limit(&budget(), Version(1), Tokens(8_000));
+    let limit = keeper.batch(0).expect("the limit is new");
+    keeper
+        .replay(Offset(0), &limit, 0)
+        .expect("the offset is next");
+    keeper.request(&request(1, 100), 0);
+    let draw = keeper.batch(1_000).expect("a draw is due");
+    keeper
+        .replay(Offset(1), &draw, 1_000)
+        .expect("the offset is next");
+    keeper.tick(100_000);
+    assert_eq!(keeper.batch(100_000), None, "plenty is left");
+    let other = GrantId {
+        incarnation: keeper_id(1),
+        sequence: 1,
+    };
+    let records = vec![LedgerRecord::draw(&budget(), other, Tokens(7_000))];
+    let batch = LedgerBatch {
+        author: keeper_id(1).0,
+        sequence: 1,
+        records,
+    };
+    keeper
+        .replay(Offset(2), &batch, 100_000)
+        .expect("the offset is next");
+    keeper.tick(100_000);
+    let records = keeper.batch(100_000).expect("a return is due").records;
+    let grant = GrantId {
+        incarnation: keeper_id(0),
+        sequence: 1,
+    };
+    assert_eq!(records, [LedgerRecord::close(grant, Tokens(100))]);
+}
+
+#[test]
+fn a_slice_takes_a_share_of_what_is_left_unless_more_is_needed() {
+    let mut keeper = Keeper::new(keeper_id(0), Ledger::default(), KeeperSettings::default());
+    keeper.set_limit(&budget(), Version(1), Tokens(102_400));
+    let limit = keeper.batch(0).expect("the limit is new");
+    keeper
+        .replay(Offset(0), &limit, 0)
+        .expect("the offset is next");
+    keeper.request(&request(1, 51_200), 0);
+    let draw = keeper.batch(1_000).expect("a draw is due");
+    keeper
+        .replay(Offset(1), &draw, 1_000)
+        .expect("the offset is next");
+    let mut greedy = request(2, 10);
+    greedy.expected = Tokens(1_000_000);
+    let SliceAnswer::Granted(slices) = keeper.request(&greedy, 1_000).answer else {
+        panic!("tokens are held")
+    };
+    assert_eq!(slices[0].tokens, Tokens(12_800));
+    let SliceAnswer::Granted(slices) = keeper.request(&request(3, 20_000), 1_000).answer else {
+        panic!("tokens are held")
+    };
+    assert_eq!(slices[0].tokens, Tokens(20_000));
+}
--- a/crates/mallowpath/tests/reclaim.rs
+++ b/crates/mallowpath/tests/reclaim.rs
@@ -142,7 +142,7 @@
     /// Returns what is open and spent after everyone that lives has returned all.
     fn drain(&mut self) -> (u64, u64) {
         for _ in 0..5 {
-            self.now_ms += 20_000;
+            self.now_ms += KeeperSettings::default().idle_ms;
             for wallet in &mut self.wallets {
                 for returned in wallet.returns(self.now_ms) {
                     self.keeper.return_slice(&returned);
--- a/crates/mallowpath/tests/wallet.rs
+++ b/crates/mallowpath/tests/wallet.rs
@@ -12,7 +12,13 @@
 }
 
 fn wallet() -> Wallet {
-    Wallet::new(Incarnation(200), WalletSettings::default())
+    Wallet::new(
+        Incarnation(200),
+        WalletSettings {
+            idle_ms: 2_000,
+            ..WalletSettings::default()
+        },
+    )
 }
 
 fn slice(sequence: u64, tokens: u64) -> Slice {
