Back off repeated appends and measure accounts

Cause: 192 keepers that repeat every 500 ms would add 384 appends/s to a log that is slow already. Repeats of ledger and bill batches now wait longer each time, up to ten periods; the test states the exact times in place of "some repeat".

--- a/crates/mallowpath/src/bill_book.rs
+++ b/crates/mallowpath/src/bill_book.rs
@@ -1,6 +1,6 @@
 //! A router's bills, from the reservation until they are in the log.
 
-use crate::{Bill, BillBatch, Incarnation, RequestId};
+use crate::{Bill, BillBatch, Incarnation, RequestId, outbox::backoff_ms};
 use std::collections::BTreeMap;
 
 /// How a router appends bills.
@@ -81,6 +81,7 @@
     batch: BillBatch,
     requests: Vec<RequestId>,
     appended_ms: u64,
+    attempts: u64,
 }
 
 impl BillBook {
@@ -189,10 +190,12 @@
     /// [`BillBook::appended`] names it.
     pub fn batch(&mut self, now_ms: u64) -> Option<BillBatch> {
         if let Some(in_flight) = &mut self.in_flight {
-            if now_ms.saturating_sub(in_flight.appended_ms) < self.settings.retry_ms {
+            let wait_ms = backoff_ms(self.settings.retry_ms, in_flight.attempts);
+            if now_ms.saturating_sub(in_flight.appended_ms) < wait_ms {
                 return None;
             }
             in_flight.appended_ms = now_ms;
+            in_flight.attempts += 1;
             return Some(in_flight.batch.clone());
         }
         let due = self
@@ -230,6 +233,7 @@
             batch: batch.clone(),
             requests,
             appended_ms: now_ms,
+            attempts: 1,
         });
         Some(batch)
     }
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -184,7 +184,7 @@
             }
             self.draw(&request.budget, needed.saturating_sub(free), now_ms);
             return SliceAnswer::Short {
-                retry_after_ms: self.retry_after_ms(),
+                retry_after_ms: self.outbox.wait_ms(&self.settings),
             };
         }
         let reachable = free.saturating_add(balance.left());
@@ -205,13 +205,6 @@
         oldest.unwrap_or(self.last_grant + 1)
     }
 
-    fn retry_after_ms(&self) -> u64 {
-        let attempts = self.outbox.attempts();
-        self.settings
-            .retry_ms
-            .saturating_mul(attempts.clamp(1, MAX_RETRY_FACTOR))
-    }
-
     /// Draws when less is free than half a horizon's use.
     fn refill(&mut self, budget: &BudgetId, now_ms: u64) {
         let Some(account) = self.accounts.get_mut(budget) else {
@@ -373,9 +366,6 @@
 /// A copy of a request that arrives later still can strand a slice until this incarnation ends.
 const FORGET_IDLE_PERIODS: u64 = 6;
 
-/// The longest wait asked of a router, in retry periods.
-const MAX_RETRY_FACTOR: u64 = 10;
-
 impl KeeperSettings {
     /// Returns how much to draw of what is left for an expected use.
     fn size(&self, expected: Tokens, left: Tokens) -> Tokens {
--- a/crates/mallowpath/src/outbox.rs
+++ b/crates/mallowpath/src/outbox.rs
@@ -2,6 +2,9 @@
 
 use crate::{Incarnation, KeeperSettings, LedgerBatch, LedgerRecord};
 
+/// The longest wait between repeats, in retry periods.
+const MAX_BACKOFF_FACTOR: u64 = 10;
+
 /// Batches the records of one author and repeats each batch until it is read back.
 ///
 /// One batch is under way at a time, so that draws reach the log in the order of their numbers.
@@ -36,11 +39,13 @@
         self.queue.push(record);
     }
 
-    /// Returns how often the batch under way was appended, or 0.
-    pub(crate) fn attempts(&self) -> u64 {
-        self.in_flight
+    /// Returns how long the next answer of the log may take.
+    pub(crate) fn wait_ms(&self, settings: &KeeperSettings) -> u64 {
+        let attempts = self
+            .in_flight
             .as_ref()
-            .map_or(0, |in_flight| in_flight.attempts)
+            .map_or(1, |in_flight| in_flight.attempts);
+        backoff_ms(settings.retry_ms, attempts)
     }
 
     /// Ends the repeats of a batch that was read in the stream.
@@ -57,7 +62,8 @@
     /// Returns the batch to append now, if any.
     pub(crate) fn batch(&mut self, settings: &KeeperSettings, now_ms: u64) -> Option<LedgerBatch> {
         if let Some(in_flight) = &mut self.in_flight {
-            if now_ms.saturating_sub(in_flight.appended_ms) < settings.retry_ms {
+            let wait_ms = backoff_ms(settings.retry_ms, in_flight.attempts);
+            if now_ms.saturating_sub(in_flight.appended_ms) < wait_ms {
                 return None;
             }
             in_flight.appended_ms = now_ms;
@@ -88,3 +94,8 @@
         Some(batch)
     }
 }
+
+/// Returns the wait after an attempt, which grows so that a slow log isn't flooded with repeats.
+pub(crate) fn backoff_ms(retry_ms: u64, attempts: u64) -> u64 {
+    retry_ms.saturating_mul(attempts.clamp(1, MAX_BACKOFF_FACTOR))
+}
--- a/crates/mallowpath/tests/keeper.rs
+++ b/crates/mallowpath/tests/keeper.rs
@@ -397,10 +397,18 @@
             retry_after_ms: 500
         }
     );
-    for now_ms in [1_000, 1_500, 2_000, 2_500] {
-        assert!(fleet.keepers[0].batch(now_ms).is_some());
+    let mut appends_ms = Vec::new();
+    for now_ms in (1_000..6_000).step_by(100) {
+        if fleet.keepers[0].batch(now_ms).is_some() {
+            appends_ms.push(now_ms);
+        }
     }
-    let later = fleet.keepers[0].request(&request(5, 15), 2_600);
+    assert_eq!(
+        appends_ms,
+        [1_000, 1_500, 2_500, 4_000],
+        "repeats grow rarer"
+    );
+    let later = fleet.keepers[0].request(&request(5, 15), 5_900);
     assert_eq!(
         later.answer,
         SliceAnswer::Short {
