Forget idle wallet accounts and closed grants

Cause: a router sees most budgets within an hour and kept an account for each; what it spent of a grant was kept for a budget until that budget's next request; and looking for a request under way went through all pending ones for each account.

Ruled out: telling the oldest open grant for each budget, which a seldom used budget never hears. A keeper now tells the oldest one of its shard with every reply.

Change: the wallet keeps spent amounts by grant, drops unused accounts without slices, and collects the pending requests once a call.

--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -47,6 +47,8 @@
     accounts: BTreeMap<BudgetId, Account>,
     fenced: BTreeSet<Incarnation>,
     last_grant: u64,
+    /// Sequence numbers of grants that are drawn or held.
+    open_grants: BTreeSet<u64>,
     last_slice: u64,
     outbox: Outbox,
     revoked: bool,
@@ -62,6 +64,7 @@
             accounts: BTreeMap::new(),
             fenced: BTreeSet::new(),
             last_grant: 0,
+            open_grants: BTreeSet::new(),
             last_slice: 0,
             outbox: Outbox::new(incarnation),
             revoked: false,
@@ -119,12 +122,17 @@
             Effect::Granted(tokens) => self.outbox.push(LedgerRecord::close(grant, tokens)),
             Effect::Returned(_) => {
                 account.grants.remove(&grant.sequence);
+                self.open_grants.remove(&grant.sequence);
             }
             Effect::Reclaimed(_) => {
                 // Others proved what this incarnation left unspent, so it was fenced.
                 account.grants.remove(&grant.sequence);
+                self.open_grants.remove(&grant.sequence);
                 self.revoked = true;
             }
+            _ if drawn => {
+                self.open_grants.remove(&grant.sequence);
+            }
             _ => {}
         }
     }
@@ -132,7 +140,7 @@
     /// Answers a router's request for tokens.
     pub fn request(&mut self, request: &SliceRequest, now_ms: u64) -> SliceReply {
         let answer = self.answer(request, now_ms);
-        let oldest_open_grant = self.oldest_open_grant(&request.budget);
+        let oldest_open_grant = self.oldest_open_grant();
         SliceReply {
             number: request.number,
             oldest_open_grant,
@@ -196,13 +204,11 @@
         SliceAnswer::Granted(slices)
     }
 
-    fn oldest_open_grant(&self, budget: &BudgetId) -> u64 {
-        let Some(account) = self.accounts.get(budget) else {
-            return self.last_grant + 1;
-        };
-        let held = account.grants.keys().next().copied();
-        let oldest = held.or(account.draw);
-        oldest.unwrap_or(self.last_grant + 1)
+    fn oldest_open_grant(&self) -> u64 {
+        self.open_grants
+            .first()
+            .copied()
+            .unwrap_or(self.last_grant + 1)
     }
 
     /// Draws when less is free than half a horizon's use.
@@ -231,6 +237,7 @@
             return;
         }
         self.last_grant += 1;
+        self.open_grants.insert(self.last_grant);
         account.draw = Some(self.last_grant);
         let grant = GrantId {
             incarnation: self.incarnation,
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -13,6 +13,7 @@
 mod outbox;
 mod rate;
 mod reclaim;
+mod reservation;
 mod slice;
 mod verdict;
 mod wallet;
@@ -33,10 +34,9 @@
     RecordId, TopUpRecord,
 };
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
+pub use reservation::{Reservation, ReserveOutcome, SlicePart};
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
-pub use wallet::{
-    OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings,
-};
+pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
--- a/crates/mallowpath/src/slice.rs
+++ b/crates/mallowpath/src/slice.rs
@@ -35,7 +35,7 @@
 pub struct SliceReply {
     /// The number of the request.
     pub number: u64,
-    /// All grants of the keeper for this budget with a lower sequence number are closed.
+    /// All grants of the keeper with a lower sequence number are closed.
     pub oldest_open_grant: u64,
     /// What the budget is not known to have spent: no larger reservation can succeed for now.
     pub unspent: Tokens,
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -6,6 +6,7 @@
 use crate::{
     BudgetId, GrantId, Incarnation, SliceId, Tokens,
     bill::charge,
+    reservation::{Reservation, ReserveOutcome, SlicePart},
     slice::{GrantSpent, KeeperReport, SliceAnswer, SliceReply, SliceRequest, SliceReturn},
     wallet_account::{PendingRequest, Refusal, SliceState, WalletAccount, Wish, account_mut},
 };
@@ -33,49 +34,13 @@
     accounts: BTreeMap<BudgetId, WalletAccount>,
     pending: BTreeMap<u64, PendingRequest>,
     fenced_keepers: BTreeSet<Incarnation>,
+    /// What was spent of each grant that isn't known to be closed.
+    spent: BTreeMap<GrantId, Tokens>,
     closed_grants: BTreeSet<GrantId>,
     last_request: u64,
     revoked: bool,
 }
 
-/// Tokens set aside for one request; settled exactly once, so it can't be cloned.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Reservation {
-    /// The budget.
-    pub budget: BudgetId,
-    /// The slices that the tokens are part of.
-    pub parts: Vec<SlicePart>,
-}
-
-/// Tokens out of one slice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SlicePart {
-    /// The slice.
-    pub slice: SliceId,
-    /// The grant that the slice is part of.
-    pub grant: GrantId,
-    /// How many tokens.
-    pub tokens: Tokens,
-}
-
-/// The answer to a wish to reserve.
-#[derive(Debug, PartialEq, Eq)]
-pub enum ReserveOutcome {
-    /// The tokens are set aside.
-    Reserved(Reservation),
-    /// Not enough at present; a refill is under way or due after the wait.
-    Short {
-        /// How long to wait before the next try.
-        retry_after_ms: u64,
-    },
-    /// The budget can't cover the wish.
-    Exhausted,
-    /// The ledger knows no such budget.
-    UnknownBudget,
-    /// This incarnation was fenced and spends nothing more.
-    Revoked,
-}
-
 /// A request on its way to a keeper.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OutgoingRequest {
@@ -105,6 +70,7 @@
             accounts: BTreeMap::new(),
             pending: BTreeMap::new(),
             fenced_keepers: BTreeSet::new(),
+            spent: BTreeMap::new(),
             closed_grants: BTreeSet::new(),
             last_request: 0,
             revoked: false,
@@ -159,7 +125,7 @@
             if let Some(held) = account.slices.get_mut(&part.slice) {
                 held.free = held.free.saturating_sub(part.tokens);
             }
-            let sum = account.spent.entry(part.grant).or_default();
+            let sum = self.spent.entry(part.grant).or_default();
             *sum = sum.saturating_add(part.tokens);
         }
         charged
@@ -184,6 +150,10 @@
         if self.revoked {
             return outgoing;
         }
+        let mut asked = BTreeSet::new();
+        for pending in self.pending.values() {
+            asked.insert((pending.request.budget.clone(), pending.keeper));
+        }
         for (budget, account) in &mut self.accounts {
             let Some(keeper) = keeper_of(budget) else {
                 continue;
@@ -191,10 +161,10 @@
             let waits = account
                 .refusal
                 .is_some_and(|refusal| now_ms < refusal.until_ms);
-            let asked = |pending: &PendingRequest| {
-                pending.keeper == keeper && pending.request.budget == *budget
-            };
-            if waits || self.fenced_keepers.contains(&keeper) || self.pending.values().any(asked) {
+            if waits
+                || self.fenced_keepers.contains(&keeper)
+                || asked.contains(&(budget.clone(), keeper))
+            {
                 continue;
             }
             let Some(wish) = account.wish.take() else {
@@ -234,8 +204,8 @@
             return false;
         };
         let request = pending.request;
+        self.forget_closed(keeper, reply.oldest_open_grant);
         let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
-        account.forget_closed(keeper, reply.oldest_open_grant, &mut self.closed_grants);
         let wait_ms = match &reply.answer {
             SliceAnswer::Granted(slices) => {
                 account.refusal = None;
@@ -279,6 +249,9 @@
                 });
             }
         }
+        let idle_ms = self.settings.idle_ms;
+        self.accounts
+            .retain(|_, account| !account.is_unused(idle_ms, now_ms));
         returns
     }
 
@@ -326,15 +299,16 @@
             settled: true,
             grants: Vec::new(),
         };
-        for account in self.accounts.values() {
-            for (grant, spent) in &account.spent {
-                if grant.incarnation == keeper {
-                    report.grants.push(GrantSpent {
-                        grant: *grant,
-                        spent: *spent,
-                    });
-                }
+        for (grant, spent) in &self.spent {
+            if grant.incarnation != keeper {
+                continue;
             }
+            report.grants.push(GrantSpent {
+                grant: *grant,
+                spent: *spent,
+            });
+        }
+        for account in self.accounts.values() {
             for (id, held) in &account.slices {
                 let running = held.reserved > Tokens::ZERO;
                 if id.incarnation == keeper && running {
@@ -351,7 +325,26 @@
             account
                 .slices
                 .retain(|id, held| id.incarnation != keeper || held.reserved > Tokens::ZERO);
-            account.forget_closed(keeper, u64::MAX, &mut self.closed_grants);
+        }
+        self.forget_closed(keeper, u64::MAX);
+    }
+
+    fn forget_closed(&mut self, keeper: Incarnation, oldest_open: u64) {
+        let first = GrantId {
+            incarnation: keeper,
+            sequence: 0,
+        };
+        let oldest = GrantId {
+            incarnation: keeper,
+            sequence: oldest_open,
+        };
+        let mut closed = Vec::new();
+        for grant in self.spent.range(first..oldest).map(|(grant, _)| *grant) {
+            closed.push(grant);
+        }
+        for grant in closed {
+            self.spent.remove(&grant);
+            self.closed_grants.insert(grant);
         }
     }
 
--- a/crates/mallowpath/src/wallet_account.rs
+++ b/crates/mallowpath/src/wallet_account.rs
@@ -1,17 +1,16 @@
 //! What a wallet holds of one budget.
 
 use crate::{
-    BudgetId, GrantId, Incarnation, OutgoingRequest, Outstanding, ReserveOutcome, SliceId,
-    SlicePart, Tokens, WalletSettings,
+    BudgetId, Incarnation, OutgoingRequest, Outstanding, ReserveOutcome, SliceId, SlicePart,
+    Tokens, WalletSettings,
     rate::RateMeter,
     slice::{Slice, SliceRequest},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 #[derive(Debug)]
 pub(crate) struct WalletAccount {
     pub(crate) slices: BTreeMap<SliceId, HeldSlice>,
-    pub(crate) spent: BTreeMap<GrantId, Tokens>,
     pub(crate) wish: Option<Wish>,
     pub(crate) refusal: Option<Refusal>,
     pub(crate) rate: RateMeter,
@@ -69,7 +68,6 @@
         .entry(budget.clone())
         .or_insert_with(|| WalletAccount {
             slices: BTreeMap::new(),
-            spent: BTreeMap::new(),
             wish: None,
             refusal: None,
             rate: RateMeter::new(settings.horizon_ms, now_ms),
@@ -164,20 +162,10 @@
         }
     }
 
-    /// Forgets what was spent of closed grants and adds them to `closed`.
-    pub(crate) fn forget_closed(
-        &mut self,
-        keeper: Incarnation,
-        oldest_open: u64,
-        closed: &mut BTreeSet<GrantId>,
-    ) {
-        self.spent.retain(|grant, _| {
-            let open = grant.incarnation != keeper || grant.sequence >= oldest_open;
-            if !open {
-                closed.insert(*grant);
-            }
-            open
-        });
+    /// Returns whether the account can be forgotten and made anew at its next use.
+    pub(crate) fn is_unused(&self, idle_ms: u64, now_ms: u64) -> bool {
+        let idle = now_ms.saturating_sub(self.used_ms) >= idle_ms;
+        idle && self.slices.is_empty()
     }
 }
 
