Refuse to start a ledger from nothing

Cause: a reader of a stream whose beginning has expired must not assume that nothing was spent. Ledger::start takes the oldest record kept and the checkpoints read, passes over damaged ones and ones from the future, and fails when none is left.

Seen to fail with: zero assumed; a checkpoint older than the records kept; one that stands for records after itself; the hash not compared.

--- a/crates/mallowpath/src/checkpoint.rs
+++ b/crates/mallowpath/src/checkpoint.rs
@@ -6,12 +6,44 @@
     Balance, BudgetId, Incarnation, Ledger, LedgerError, Offset, Tokens, Version,
     ledger::{LastDraw, OpenGrant},
     ledger_records::{CheckpointRecord, DrawRecord, RecordId},
-    verdict::DamagedCheckpointSnafu,
+    verdict::{DamagedCheckpointSnafu, NoStartSnafu},
 };
 use prost::Message;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// A checkpoint as read in the stream.
+#[derive(Debug, Clone)]
+pub struct LoggedCheckpoint {
+    /// The offset of the record.
+    pub offset: Offset,
+    /// The checkpoint.
+    pub checkpoint: CheckpointRecord,
+}
+
 impl Ledger {
+    /// Returns the state to replay from, given the oldest record kept and the checkpoints read.
+    ///
+    /// Replay goes on at [`Ledger::next`], which the stream still keeps. Damaged checkpoints and
+    /// ones that claim to stand for records after themselves are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream keeps neither its beginning nor a checkpoint to start from, instead of
+    /// assuming that nothing was spent.
+    pub fn start(first: Offset, checkpoints: &[LoggedCheckpoint]) -> Result<Self, LedgerError> {
+        let mut start = (first == Offset(0)).then(Self::default);
+        for LoggedCheckpoint { offset, checkpoint } in checkpoints {
+            let known = start.as_ref().map_or(first, Self::next);
+            if checkpoint.upto < known.0 || checkpoint.upto > offset.0 {
+                continue;
+            }
+            if let Ok(ledger) = Self::restore(checkpoint) {
+                start = Some(ledger);
+            }
+        }
+        start.ok_or_else(|| NoStartSnafu { first }.build())
+    }
+
     /// Returns a checkpoint of the state, the same at every reader that has replayed as far.
     pub fn checkpoint(&self) -> CheckpointRecord {
         let state = self.to_state().encode_to_vec();
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -23,6 +23,7 @@
 pub use bill::{Bill, BillBatch, BillOutcome, BillRecord, PartRecord, charge, sum_parts};
 pub use bill_book::{BillBook, BillCounts, BillSettings, BillState, BillWatermark, Recorded};
 pub use bill_shelf::{BillShelf, SidecarConfirmation};
+pub use checkpoint::LoggedCheckpoint;
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
--- a/crates/mallowpath/src/verdict.rs
+++ b/crates/mallowpath/src/verdict.rs
@@ -79,6 +79,12 @@
         /// The offset that was given.
         found: Offset,
     },
+    /// The stream keeps neither its beginning nor a checkpoint to start from.
+    #[snafu(display("ledger start: no record below offset {first} and no checkpoint from there"))]
+    NoStart {
+        /// The oldest record kept.
+        first: Offset,
+    },
     /// The state in a checkpoint doesn't match its hash or can't be decoded.
     #[snafu(display("ledger checkpoint upto offset {upto} is damaged"))]
     DamagedCheckpoint {
--- a/crates/mallowpath/tests/ledger.rs
+++ b/crates/mallowpath/tests/ledger.rs
@@ -2,8 +2,8 @@
 
 use mallowpath::{
     BudgetId, DEDUPE_WINDOW_OFFSETS, Effect, GrantId, Incarnation, Ledger, LedgerBatch,
-    LedgerEntry, LedgerError, LedgerRecord, Offset, Tokens, TopUpRecord, Verdict, Version,
-    VoidReason, shard_of,
+    LedgerEntry, LedgerError, LedgerRecord, LoggedCheckpoint, Offset, Tokens, TopUpRecord, Verdict,
+    Version, VoidReason, shard_of,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 use prost::Message;
@@ -277,6 +277,45 @@
     ));
 }
 
+#[test]
+fn a_reader_without_beginning_or_checkpoint_refuses_to_start() {
+    let mut ledger = Ledger::default();
+    for n in 1..=8 {
+        apply(
+            &mut ledger,
+            vec![LedgerRecord::limit(&budget("a"), Version(n), Tokens(n))],
+        );
+    }
+    let logged = |offset, checkpoint| LoggedCheckpoint {
+        offset: Offset(offset),
+        checkpoint,
+    };
+    let sound = logged(9, ledger.checkpoint());
+    let early = logged(7, ledger.checkpoint());
+    let mut damaged = logged(10, ledger.checkpoint());
+    damaged.checkpoint.state_hash ^= 1;
+    let start = |first, checkpoints: &[LoggedCheckpoint]| Ledger::start(Offset(first), checkpoints);
+    assert!(matches!(
+        start(1, &[]),
+        Err(LedgerError::NoStart { first: Offset(1) })
+    ));
+    let late = start(9, std::slice::from_ref(&sound));
+    assert!(
+        matches!(late, Err(LedgerError::NoStart { .. })),
+        "records after it are gone"
+    );
+    let none = start(3, &[early, damaged.clone()]);
+    assert!(matches!(none, Err(LedgerError::NoStart { .. })));
+    assert_eq!(
+        start(8, &[sound, damaged]).expect("a checkpoint is sound"),
+        ledger
+    );
+    assert_eq!(
+        start(0, &[]).expect("the beginning is kept"),
+        Ledger::default()
+    );
+}
+
 #[test]
 fn budgets_spread_over_shards_and_stay_there() {
     let mut counts = [0; 16];
