--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -81,6 +81,7 @@
 mod sidecar;
 mod sidecar_calls;
 mod signal;
+mod reservation;
 mod slice;
 mod slice_wire;
 mod verdict;
@@ -114,6 +115,7 @@
 pub use fleet_read::parse_tokens;
 pub use health::{SilenceDetector, SilenceSettings};
 pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
+pub use checkpoint::LoggedCheckpoint;
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
@@ -168,10 +170,9 @@
 };
 pub use sidecar::{Sidecar, SidecarAddresses};
 pub use signal::run_until_drained;
+pub use reservation::{Reservation, ReserveOutcome, SlicePart};
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
-pub use wallet::{
-    OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings,
-};
+pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
