--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -8,9 +8,10 @@
     link::now_ms,
     peers::keeper_host,
     refusal::{Code, Refusal},
+    reservation::{Reservation, ReserveOutcome, SlicePart},
     router::Router,
     slice::{SliceRequest, SliceReturn},
-    wallet::{OutgoingRequest, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings},
+    wallet::{OutgoingRequest, Wallet, WalletSettings},
     wire::{self, Body},
 };
 use serde_json::{Value, json};
--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -13,8 +13,8 @@
     limbo,
     link::{Call, Link, now_ms},
     refusal::{Code, Outcome, Refusal},
+    reservation::Reservation,
     router::Router,
-    wallet::Reservation,
     wire::{Attach, Body, Chunk, End, Head, SlicePart, Submit},
 };
 use bytes::Bytes;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -67,6 +67,7 @@
 mod refusal;
 mod rendezvous;
 mod replay;
+mod reservation;
 mod retry;
 mod route;
 mod router;
@@ -81,7 +82,6 @@
 mod sidecar;
 mod sidecar_calls;
 mod signal;
-mod reservation;
 mod slice;
 mod slice_wire;
 mod verdict;
@@ -102,6 +102,7 @@
     SectionNameRecord, SectionRecord, diff,
 };
 pub use chat::{ChatRequest, StreamEvent, Usage};
+pub use checkpoint::LoggedCheckpoint;
 pub use claim_verdict::ClaimVerdict;
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
 pub use eject::{EjectSettings, Outliers};
@@ -115,7 +116,6 @@
 pub use fleet_read::parse_tokens;
 pub use health::{SilenceDetector, SilenceSettings};
 pub use host_client::{HostClient, HostClientSettings, HostEntry, HostList, HostRole, HostState};
-pub use checkpoint::LoggedCheckpoint;
 pub use id::{
     BackendId, BudgetId, GrantId, HostId, Incarnation, Offset, ParseIdError, Region, RequestId,
     ServiceId, SliceId, Tokens, Version, WorkspaceId, Zone,
@@ -159,6 +159,7 @@
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
 pub use replay::{ConfigLoader, ConfigState, ConfigVerdict, ConfigVoid, ReplayError};
+pub use reservation::{Reservation, ReserveOutcome, SlicePart};
 pub use retry::{FailedTry, NoRetry, RetryBudget, RetrySettings, TryOutcome};
 pub use route::{Choice, NoBackend, Reason, RouteRequest, RouteSettings, RouteTable};
 pub use router::{Router, RouterAddresses};
@@ -170,7 +171,6 @@
 };
 pub use sidecar::{Sidecar, SidecarAddresses};
 pub use signal::run_until_drained;
-pub use reservation::{Reservation, ReserveOutcome, SlicePart};
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
--- a/crates/mallowpath/src/limbo.rs
+++ b/crates/mallowpath/src/limbo.rs
@@ -6,8 +6,8 @@
 use crate::{
     id::{Incarnation, Tokens},
     job::Job,
+    reservation::Reservation,
     router::Router,
-    wallet::Reservation,
     wire::{Body, End, Stop},
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -8,9 +8,9 @@
     key::KeyHash,
     link::{Responder, now_ms},
     members::Fence,
+    reservation::SlicePart,
     run::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
     sidecar::{Sidecar, Signal},
-    wallet::SlicePart,
     wire::{
         self, Attach, BillsLogged, Body, CallFailed, Chunk, Done, End, Fenced, Refused, Stop,
         Submit, SubmitKey,
