Look for keepers apart from the refill, and again while the host list lags

Cause (by reading): keepers were located inside the refill loop, one dial a shard, and only when the host list changed. One unreachable router stalled all refills for up to 32 connect timeouts, and a keeper that died was asked until the host list noticed. Ruled out: asking all routers of the zone at once, which makes a keeper of each. Change: a task of its own, one dial an address, every 2 s; a keeper that can't be reached is replaced by this process until it can. Conclusion: refills never wait for a dial.

--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -16,7 +16,7 @@
 };
 use serde_json::{Value, json};
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -27,6 +27,8 @@
 };
 
 const TICK_MS: u64 = 50;
+/// Time between checks that the keepers of other hosts can be reached.
+const LOCATE_MS: u64 = 2000;
 const ASK_MS: u64 = 1000;
 /// How long a request waits for tokens before it is told to come back.
 const WAIT_FOR_TOKENS_MS: u64 = 1500;
@@ -40,6 +42,8 @@
     answered: Notify,
     /// Told when the wallet has something to ask for.
     wanting: Notify,
+    /// Told when a keeper is to be found.
+    locating: Notify,
     keepers: AsyncMutex<HashMap<u32, Arc<KeeperTask>>>,
     keeper_places: Mutex<KeeperPlaces>,
 }
@@ -51,13 +55,16 @@
     current: HashMap<u32, Incarnation>,
     /// The addresses of all keepers met; none for one in this process.
     addresses: HashMap<Incarnation, Option<SocketAddr>>,
+    /// The shards that were asked for.
+    wanted: BTreeSet<u32>,
 }
 
 impl KeeperPlaces {
-    fn place(&mut self, shard: u32, router: Incarnation, address: Option<SocketAddr>) {
+    /// Notes the keeper of a shard and returns whether it is another one than before.
+    fn place(&mut self, shard: u32, router: Incarnation, address: Option<SocketAddr>) -> bool {
         let keeper = keeper_incarnation(router, shard);
-        self.current.insert(shard, keeper);
         self.addresses.insert(keeper, address);
+        self.current.insert(shard, keeper) != Some(keeper)
     }
 }
 
@@ -68,6 +75,7 @@
             wallet: Mutex::new(Wallet::new(incarnation, WalletSettings::default())),
             answered: Notify::new(),
             wanting: Notify::new(),
+            locating: Notify::new(),
             keepers: AsyncMutex::new(HashMap::new()),
             keeper_places: Mutex::new(KeeperPlaces::default()),
         }
@@ -191,40 +199,64 @@
         Some((self.config_version(), tokens))
     }
 
-    /// Returns the keeper to ask for a budget, if it is known.
+    /// Returns the keeper to ask for a budget, or notes that one is to be found.
     fn known_keeper(&self, budget: &BudgetId) -> Option<Incarnation> {
         let shard = shard_of(budget, LEDGER_SHARDS);
-        self.budgets.places().current.get(&shard).copied()
+        let mut places = self.budgets.places();
+        if places.wanted.insert(shard) {
+            self.budgets.locating.notify_one();
+        }
+        places.current.get(&shard).copied()
     }
 
-    /// Finds out which process keeps each shard.
+    /// Finds out which process keeps each shard that was asked for.
     ///
     /// Where the host list names none, or the one named can't be reached, this process keeps the
     /// shard: two keepers at once cost tokens that lie idle, never an overspend.
     async fn locate_keepers(&self) {
         let hosts = self.hosts();
-        for shard in 0..LEDGER_SHARDS {
+        let wanted = self.budgets.places().wanted.clone();
+        let mut routers = HashMap::new();
+        for shard in wanted {
             let host = keeper_host(&self.settings.host.zone, shard, &hosts);
             let remote = host.filter(|host| host.name != self.settings.host.name);
             let Some(remote) = remote else {
-                self.budgets.places().place(shard, self.incarnation, None);
+                self.place_keeper(shard, self.incarnation, None);
                 continue;
             };
-            match self.dialer.link(remote.address).await {
-                Ok(link) => {
-                    let router = link.peer_incarnation();
-                    self.budgets
-                        .places()
-                        .place(shard, router, Some(remote.address));
-                }
-                Err(error) => {
-                    log::debug!("{error}");
-                    self.budgets.places().place(shard, self.incarnation, None);
-                }
+            let known = routers.get(&remote.address).copied();
+            let router = if let Some(router) = known {
+                router
+            } else {
+                let router = self.router_at(remote.address).await;
+                routers.insert(remote.address, router);
+                router
+            };
+            match router {
+                Some(router) => self.place_keeper(shard, router, Some(remote.address)),
+                None => self.place_keeper(shard, self.incarnation, None),
             }
         }
     }
 
+    async fn router_at(&self, address: SocketAddr) -> Option<Incarnation> {
+        match self.dialer.link(address).await {
+            Ok(link) => Some(link.peer_incarnation()),
+            Err(error) => {
+                log::debug!("{error}");
+                None
+            }
+        }
+    }
+
+    fn place_keeper(&self, shard: u32, router: Incarnation, address: Option<SocketAddr>) {
+        let moved = self.budgets.places().place(shard, router, address);
+        if moved {
+            log::info!("router {router} keeps budget shard {shard} for this zone");
+            self.budgets.wanting.notify_one();
+        }
+    }
+
     async fn ask_keeper(&self, outgoing: &OutgoingRequest) -> Option<wire::SliceReply> {
         let address = *self.budgets.places().addresses.get(&outgoing.keeper)?;
         let Some(address) = address else {
@@ -305,23 +337,33 @@
 
 /// Keeps the wallet filled for the life of the process.
 pub(crate) async fn refill(router: Arc<Router>) {
+    tokio::spawn(locate(Arc::clone(&router)));
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut hosts = router.host_updates();
-    router.locate_keepers().await;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = router.budgets.wanting.notified() => {}
         }
-        if hosts.has_changed().unwrap_or(false) {
-            hosts.mark_unchanged();
-            router.locate_keepers().await;
-        }
         router.exchange_slices();
     }
 }
 
+/// Keeps the places of keepers up to date, also while the host list lags behind a lost one.
+async fn locate(router: Arc<Router>) {
+    let mut hosts = router.host_updates();
+    let mut ticks = interval(Duration::from_millis(LOCATE_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = router.budgets.locating.notified() => {}
+            changed = hosts.changed() => if changed.is_err() { return },
+        }
+        router.locate_keepers().await;
+    }
+}
+
 /// Gives every slice back before the process ends.
 pub(crate) async fn return_all(router: &Arc<Router>) {
     router.budgets.wallet().close();
