Write the library's guided page; end a request whose sidecar has forgotten it

Cause (by reading): a sidecar that answers an attach with forgotten or other_incarnation made the router attach again without pause until the deadline. Ruled out: a count of tries, which would only bound the loop. Change: such an answer ends the request as lost at once; lib.rs opens with a page whose examples run. Conclusion: doc tests pass; the lost case has no test of its own yet.

--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -336,6 +336,16 @@
                     let refusal = Refusal::not_run(Code::BackendRefused, text);
                     return Ended::NotRun(refusal.after(refused.retry_after_ms));
                 }
+                Ok(Some(Body::CallFailed(failed))) => {
+                    log::warn!(
+                        "{} can't say how {} went: {}",
+                        attempt.address,
+                        job.id,
+                        failed.code
+                    );
+                    attempt.call.finish();
+                    return Ended::Lost;
+                }
                 Ok(_) => {
                     if !self.reattach(job, attempt, delivery).await {
                         return Ended::Lost;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,5 +1,69 @@
 //! Router fleet for prepaid token budgets.
-//! Router fleet for prepaid token budgets.
+//!
+//! Callers send chat completions and plain service calls to any [`Router`]. A router reserves
+//! tokens of the caller's budget, chooses a backend server, and speaks to the [`Sidecar`] beside
+//! it, which is the only way there. The platform's log service is the only place where anything is
+//! agreed: what a record does is a function of the records before it, so every reader judges it
+//! alike.
+//!
+//! # A configuration
+//!
+//! Operators keep a folder of INI files. [`IniDocument`] merges them in the order of their names
+//! and remembers where each value stands; [`Fleet::from_document`] checks them all in one go.
+//!
+//! ```
+//! use mallowpath::{Fleet, IniDocument};
+//!
+//! let mut document = IniDocument::default();
+//! document.merge_text("10-budgets.ini", "[budget harbour]\nworkspace = port\ntokens = 2M\n");
+//! let report = Fleet::from_document(&document).unwrap_err();
+//! assert!(report.to_string().contains("10-budgets.ini:2"));
+//! ```
+//!
+//! [`publish`] appends the difference to the version in force; of two racing operators one wins,
+//! and the other is told who.
+//!
+//! # A budget
+//!
+//! A [`Ledger`] is the replayed state of one ledger stream. A draw takes no more than the budget
+//! has left, whoever asks, and the same record again is void.
+//!
+//! ```
+//! use mallowpath::{
+//!     BudgetId, GrantId, Incarnation, Ledger, LedgerBatch, LedgerRecord, Offset, Tokens, Version,
+//! };
+//!
+//! let budget: BudgetId = "harbour".parse()?;
+//! let grant = GrantId { incarnation: Incarnation(7), sequence: 1 };
+//! let records = vec![
+//!     LedgerRecord::limit(&budget, Version(1), Tokens(100)),
+//!     LedgerRecord::draw(&budget, grant, Tokens(80)),
+//!     LedgerRecord::draw(&budget, grant, Tokens(80)),
+//! ];
+//! let batch = LedgerBatch { author: 7, sequence: 1, records };
+//!
+//! let mut ledger = Ledger::default();
+//! ledger.apply(Offset(0), &batch)?;
+//! let balance = ledger.balance(&budget).expect("the limit was set");
+//! assert_eq!(balance.left(), Tokens(20));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+//!
+//! A [`Keeper`] draws grants for an availability zone and hands slices of them to the [`Wallet`]s
+//! of its routers, which spend them without asking anyone.
+//!
+//! # A request
+//!
+//! [`ChatRequest`] is what the router reads of a chat completion. [`RouteTable`] chooses the
+//! backend server, [`RunTable`] decides at the sidecar whether the request may start,
+//! [`KeyReplica`] keeps a request with an idempotency key from running twice, and [`BillBook`]
+//! brings its [`Bill`] to the log once.
+//!
+//! # Errors
+//!
+//! Every fallible operation gives the one [`Error`], whose [`Category`] says what may have
+//! happened, with the step and the peer at which it arose. Callers over HTTP get a [`Refusal`],
+//! whose [`Outcome`] says whether their request ran.
 
 mod admin;
 mod audit;
