Split a connection's tasks from its calls

Change: link_io.rs (first messages, writing, reading, heartbeats) and clock.rs; no behaviour changed. Conclusion: tests of the embedded fleet pass.

--- a/crates/mallowpath/src/link.rs
+++ b/crates/mallowpath/src/link.rs
@@ -4,31 +4,24 @@
 //! side that hears nothing for [`LinkSettings::silent_after_ms`] takes the connection for dead,
 //! whatever TCP says, and every call on it ends at once.
 
+pub use crate::clock::now_ms;
 use crate::{
     error::{Category, Error, Result},
     id::Incarnation,
+    link_io::{beat, greet, read_frames, write_frames},
     wire::{Body, Cancel, Frame, Heartbeat, Hello},
 };
-use futures_util::{SinkExt, StreamExt};
-use prost::Message;
+use futures_util::StreamExt;
 use std::{
     collections::HashMap,
     fmt,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
-};
-use tokio::{
-    net::TcpStream,
-    sync::mpsc,
-    time::{MissedTickBehavior, interval, timeout},
-};
-use tokio_util::{
-    codec::{Framed, LengthDelimitedCodec},
-    sync::CancellationToken,
+    time::Duration,
 };
+use tokio::{net::TcpStream, sync::mpsc, time::timeout};
+use tokio_util::sync::CancellationToken;
 
-const MAX_FRAME_BYTES: usize = 16 << 20;
 const OUTGOING_FRAMES: usize = 1024;
 
 /// Times of a connection.
@@ -137,34 +130,7 @@
         endpoint: &Endpoint,
         first_call: u64,
     ) -> Result<Arc<Self>> {
-        if let Err(error) = stream.set_nodelay(true) {
-            return Err(unreachable_peer(remote, &error.to_string()));
-        }
-        let codec = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
-            .new_codec();
-        let mut framed = Framed::new(stream, codec);
-        let hello = Frame {
-            call: 0,
-            body: Some(Body::Hello(endpoint.hello.clone())),
-        };
-        if let Err(error) = framed.send(bytes::Bytes::from(hello.encode_to_vec())).await {
-            return Err(unreachable_peer(remote, &error.to_string()));
-        }
-        let limit = Duration::from_millis(endpoint.settings.connect_ms);
-        let first = match timeout(limit, framed.next()).await {
-            Ok(Some(Ok(bytes))) => Frame::decode(bytes),
-            Ok(Some(Err(error))) => return Err(unreachable_peer(remote, &error.to_string())),
-            Ok(None) => return Err(unreachable_peer(remote, "closed before its first message")),
-            Err(_) => return Err(unreachable_peer(remote, "no first message in time")),
-        };
-        let Ok(Frame {
-            body: Some(Body::Hello(peer)),
-            ..
-        }) = first
-        else {
-            return Err(unreachable_peer(remote, "first message is not a hello"));
-        };
+        let (peer, framed) = greet(stream, remote, endpoint).await?;
         let (outgoing, queue) = mpsc::channel(OUTGOING_FRAMES);
         let link = Arc::new(Self {
             peer,
@@ -285,7 +251,7 @@
         )
     }
 
-    async fn send(&self, call: u64, body: Body) -> bool {
+    pub(crate) async fn send(&self, call: u64, body: Body) -> bool {
         let frame = Frame {
             call,
             body: Some(body),
@@ -300,7 +266,7 @@
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn end_calls(&self) {
+    pub(crate) fn end_calls(&self) {
         let mut calls = self.calls();
         calls.opened.clear();
         for (_, token) in calls.served.drain() {
@@ -309,7 +275,7 @@
     }
 
     /// Hands a message to the call that it belongs to.
-    fn dispatch(self: &Arc<Self>, call: u64, body: Body, endpoint: &Endpoint) {
+    pub(crate) fn dispatch(self: &Arc<Self>, call: u64, body: Body, endpoint: &Endpoint) {
         let responder = {
             let mut calls = self.calls();
             if let Some(sender) = calls.opened.get(&call) {
@@ -396,114 +362,11 @@
     }
 }
 
-type Sink = futures_util::stream::SplitSink<Framed<TcpStream, LengthDelimitedCodec>, bytes::Bytes>;
-type Source = futures_util::stream::SplitStream<Framed<TcpStream, LengthDelimitedCodec>>;
-
-async fn write_frames(link: Arc<Link>, mut queue: mpsc::Receiver<Frame>, mut sink: Sink) {
-    loop {
-        let frame = tokio::select! {
-            frame = queue.recv() => frame,
-            () = link.closed.cancelled() => break,
-        };
-        let Some(frame) = frame else { break };
-        let fed = tokio::select! {
-            fed = feed_ready(&mut sink, frame, &mut queue) => fed,
-            () = link.closed.cancelled() => break,
-        };
-        if let Err(error) = fed {
-            log::debug!("writing to {} failed: {error}", link.remote);
-            break;
-        }
-    }
-    link.close();
-    link.end_calls();
-}
-
-/// Writes a frame and all that wait behind it, then flushes once.
-async fn feed_ready(
-    sink: &mut Sink,
-    first: Frame,
-    queue: &mut mpsc::Receiver<Frame>,
-) -> std::io::Result<()> {
-    sink.feed(first.encode_to_vec().into()).await?;
-    while let Ok(frame) = queue.try_recv() {
-        sink.feed(frame.encode_to_vec().into()).await?;
-    }
-    sink.flush().await
-}
-
-async fn read_frames(link: Arc<Link>, endpoint: Endpoint, mut source: Source) {
-    let silence = Duration::from_millis(endpoint.settings.silent_after_ms);
-    loop {
-        let next = tokio::select! {
-            next = timeout(silence, source.next()) => next,
-            () = link.closed.cancelled() => break,
-        };
-        let bytes = match next {
-            Ok(Some(Ok(bytes))) => bytes,
-            Ok(Some(Err(error))) => {
-                log::debug!("reading from {} failed: {error}", link.remote);
-                break;
-            }
-            Ok(None) => break,
-            Err(_) => {
-                log::warn!(
-                    "connection to {} is silent for {} ms, closing it",
-                    link.remote,
-                    endpoint.settings.silent_after_ms
-                );
-                metrics::counter!("mallowpath_silent_connections_total").increment(1);
-                break;
-            }
-        };
-        let frame = match Frame::decode(bytes) {
-            Ok(frame) => frame,
-            Err(error) => {
-                log::warn!(
-                    "peer {} sent a frame that does not decode: {error}",
-                    link.remote
-                );
-                break;
-            }
-        };
-        match frame.body {
-            Some(Body::Heartbeat(heartbeat)) => (endpoint.heard)(&link, heartbeat),
-            Some(body) => link.dispatch(frame.call, body, &endpoint),
-            None => log::debug!("peer {} sent a message of a newer kind", link.remote),
-        }
-    }
-    link.close();
-    link.end_calls();
-}
-
-async fn beat(link: Arc<Link>, endpoint: Endpoint) {
-    let mut ticks = interval(Duration::from_millis(endpoint.settings.heartbeat_ms));
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = link.closed.cancelled() => return,
-        }
-        let heartbeat = (endpoint.heartbeat)(&link.peer);
-        if !link.send(0, Body::Heartbeat(heartbeat)).await {
-            return;
-        }
-    }
-}
-
 #[cold]
-fn unreachable_peer(remote: SocketAddr, message: &str) -> Error {
+pub(crate) fn unreachable_peer(remote: SocketAddr, message: &str) -> Error {
     Error::new(Category::Refused, "connect to a peer", remote, message)
 }
 
-/// Returns the milliseconds since this process first asked.
-pub fn now_ms() -> u64 {
-    use std::sync::OnceLock;
-    static START: OnceLock<Instant> = OnceLock::new();
-    let start = START.get_or_init(Instant::now);
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
-
 impl fmt::Debug for Link {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Link")
--- /dev/null
+++ b/crates/mallowpath/src/link_io.rs
@@ -0,0 +1,158 @@
+//! The tasks of a connection: first messages, writing, reading, heartbeats.
+
+use crate::{
+    error::Result,
+    link::{Endpoint, Link, unreachable_peer},
+    wire::{Body, Frame, Hello},
+};
+use bytes::Bytes;
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
+use prost::Message;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{MissedTickBehavior, interval, timeout},
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+const MAX_FRAME_BYTES: usize = 16 << 20;
+
+type Wire = Framed<TcpStream, LengthDelimitedCodec>;
+type Sink = SplitSink<Wire, Bytes>;
+type Source = SplitStream<Wire>;
+
+/// Exchanges first messages and returns the peer's with the framed connection.
+pub(crate) async fn greet(
+    stream: TcpStream,
+    remote: SocketAddr,
+    endpoint: &Endpoint,
+) -> Result<(Hello, Wire)> {
+    if let Err(error) = stream.set_nodelay(true) {
+        return Err(unreachable_peer(remote, &error.to_string()));
+    }
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec();
+    let mut framed = Framed::new(stream, codec);
+    let hello = Frame {
+        call: 0,
+        body: Some(Body::Hello(endpoint.hello.clone())),
+    };
+    if let Err(error) = framed.send(Bytes::from(hello.encode_to_vec())).await {
+        return Err(unreachable_peer(remote, &error.to_string()));
+    }
+    let limit = Duration::from_millis(endpoint.settings.connect_ms);
+    let first = match timeout(limit, framed.next()).await {
+        Ok(Some(Ok(bytes))) => Frame::decode(bytes),
+        Ok(Some(Err(error))) => return Err(unreachable_peer(remote, &error.to_string())),
+        Ok(None) => return Err(unreachable_peer(remote, "closed before its first message")),
+        Err(_) => return Err(unreachable_peer(remote, "no first message in time")),
+    };
+    match first {
+        Ok(Frame {
+            body: Some(Body::Hello(peer)),
+            ..
+        }) => Ok((peer, framed)),
+        _ => Err(unreachable_peer(remote, "first message is not a hello")),
+    }
+}
+
+pub(crate) async fn write_frames(
+    link: Arc<Link>,
+    mut queue: mpsc::Receiver<Frame>,
+    mut sink: Sink,
+) {
+    loop {
+        let frame = tokio::select! {
+            frame = queue.recv() => frame,
+            () = link.closed() => break,
+        };
+        let Some(frame) = frame else { break };
+        let fed = tokio::select! {
+            fed = feed_ready(&mut sink, frame, &mut queue) => fed,
+            () = link.closed() => break,
+        };
+        if let Err(error) = fed {
+            log::debug!("writing to {} failed: {error}", link.remote());
+            break;
+        }
+    }
+    link.close();
+    link.end_calls();
+}
+
+/// Writes a frame and all that wait behind it, then flushes once.
+async fn feed_ready(
+    sink: &mut Sink,
+    first: Frame,
+    queue: &mut mpsc::Receiver<Frame>,
+) -> std::io::Result<()> {
+    sink.feed(first.encode_to_vec().into()).await?;
+    while let Ok(frame) = queue.try_recv() {
+        sink.feed(frame.encode_to_vec().into()).await?;
+    }
+    sink.flush().await
+}
+
+pub(crate) async fn read_frames(link: Arc<Link>, endpoint: Endpoint, mut source: Source) {
+    let silence = Duration::from_millis(endpoint.settings.silent_after_ms);
+    loop {
+        let next = tokio::select! {
+            next = timeout(silence, source.next()) => next,
+            () = link.closed() => break,
+        };
+        let bytes = match next {
+            Ok(Some(Ok(bytes))) => bytes,
+            Ok(Some(Err(error))) => {
+                log::debug!("reading from {} failed: {error}", link.remote());
+                break;
+            }
+            Ok(None) => break,
+            Err(_) => {
+                log::warn!(
+                    "connection to {} is silent for {} ms, closing it",
+                    link.remote(),
+                    endpoint.settings.silent_after_ms
+                );
+                metrics::counter!("mallowpath_silent_connections_total").increment(1);
+                break;
+            }
+        };
+        let frame = match Frame::decode(bytes) {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::warn!(
+                    "peer {} sent a frame that does not decode: {error}",
+                    link.remote()
+                );
+                break;
+            }
+        };
+        match frame.body {
+            Some(Body::Heartbeat(heartbeat)) => (endpoint.heard)(&link, heartbeat),
+            Some(body) => link.dispatch(frame.call, body, &endpoint),
+            None => log::debug!("peer {} sent a message of a newer kind", link.remote()),
+        }
+    }
+    link.close();
+    link.end_calls();
+}
+
+pub(crate) async fn beat(link: Arc<Link>, endpoint: Endpoint) {
+    let mut ticks = interval(Duration::from_millis(endpoint.settings.heartbeat_ms));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = link.closed() => return,
+        }
+        let heartbeat = (endpoint.heartbeat)(link.peer());
+        if !link.send(0, Body::Heartbeat(heartbeat)).await {
+            return;
+        }
+    }
+}
