Test the whole path with separate processes and mend cold budgets

Cause: a keeper kept its first refusal while it waited for its own draw, so every further look within the wait met that refusal. The first request for a budget took 1162 ms and a burst of 18 over two routers was refused as budget_unavailable though 1,000,000 tokens were left. A closing keeper went on drawing at its rate and ended with grants out, so spent and billed differed after a shutdown of both routers.

Ruled out: the size of the draw (it covers the waiting request) and the log (appends took a few milliseconds).

Change: Keeper::offer leaves a shortage open until Keeper::request makes it final; a closing keeper draws nothing and a closing wallet asks for nothing.

--- /dev/null
+++ b/crates/e2e/src/program.rs
@@ -0,0 +1,47 @@
+//! Finding the programs under test.
+
+use crate::Failure;
+use std::{
+    env,
+    path::{Path, PathBuf},
+};
+
+/// A program of the workspace.
+#[derive(Debug, Clone, Copy)]
+pub enum Program {
+    /// `mallowpath-router`.
+    Router,
+    /// `mallowpath-sidecar`.
+    Sidecar,
+    /// `mallowpath-standins`.
+    Standins,
+}
+
+impl Program {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Router => "mallowpath-router",
+            Self::Sidecar => "mallowpath-sidecar",
+            Self::Standins => "mallowpath-standins",
+        }
+    }
+
+    /// Returns the path of the program, which is built beside the test that runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program is not there.
+    pub fn path(self) -> Result<PathBuf, Failure> {
+        let test = env::current_exe()?;
+        let profile = test.parent().and_then(Path::parent);
+        let path = profile.unwrap_or(Path::new(".")).join(self.name());
+        if path.is_file() {
+            return Ok(path);
+        }
+        let text = format!(
+            "{} is not built; run `cargo build --workspace` first, or test the whole workspace",
+            path.display()
+        );
+        Err(text.into())
+    }
+}
--- /dev/null
+++ b/crates/e2e/tests/whole_path.rs
@@ -0,0 +1,51 @@
+//! Requests of every kind over separate processes, without faults.
+
+use mallowpath::Tokens;
+use mallowpath_e2e::{
+    Call, CallKind, Cluster, ClusterSettings, Failure, History, LogContent, is_budget_linearizable,
+};
+
+const CALLS_PER_KIND: u64 = 6;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_answer_is_whole_and_billed_once_and_the_budget_is_exact() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(ClusterSettings::default()).await?;
+    let history = History::new();
+    let mut calls = Vec::new();
+    for number in 0..CALLS_PER_KIND {
+        for kind in [
+            CallKind::Streamed,
+            CallKind::Unstreamed,
+            CallKind::Plain("lookup"),
+        ] {
+            let router = cluster.callers()[usize::from(number % 2 == 1)];
+            let call = Call {
+                kind,
+                prompt: format!("booking {number} of the town hall"),
+                // Every other answer ends at its cap.
+                max_tokens: 30,
+                natural_tokens: 20 + 5 * number,
+            };
+            calls.push(history.spawn(router, call));
+        }
+    }
+    for call in calls {
+        let operation = call.await?;
+        assert!(operation.is_whole(), "{operation:?}");
+    }
+    let content = cluster.settled(&history, 3_000).await?;
+    cluster.check(&history, &content).await.assert_clean();
+    assert_eq!(content.bills.len() as u64, 3 * CALLS_PER_KIND);
+    let operations = history.operations();
+    assert!(is_budget_linearizable(&operations, &[(0, 1_000_000)]));
+
+    cluster.drain_routers(8_000).await?;
+    let content = LogContent::read(&cluster.log_client()).await?;
+    let balance = content
+        .ledgers
+        .balance(&cluster.budget())
+        .expect("a balance");
+    assert_eq!(balance.open, Tokens::ZERO, "every slice came back");
+    assert_eq!(balance.spent, content.billed(&cluster.budget()));
+    Ok(())
+}
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -44,6 +44,7 @@
     last_grant: u64,
     last_slice: u64,
     outbox: Outbox,
+    closing: bool,
     revoked: bool,
 }
 
@@ -59,6 +60,7 @@
             last_grant: 0,
             last_slice: 0,
             outbox: Outbox::new(incarnation),
+            closing: false,
             revoked: false,
         }
     }
@@ -124,13 +126,33 @@
         }
     }
 
-    /// Answers a router's request for tokens.
+    /// Answers a router's request for tokens for good.
     pub fn request(&mut self, request: &SliceRequest, now_ms: u64) -> SliceReply {
         let answer = self.answer(request, now_ms);
-        let oldest_open_grant = self.oldest_open_grant(&request.budget);
+        if !matches!(answer, SliceAnswer::UnknownBudget | SliceAnswer::Stale) {
+            // A refusal is kept as well: a late copy of the request must not open a slice, as the
+            // router has moved on to its next request by then.
+            self.keep_answer(request, &answer, now_ms);
+        }
+        self.reply(request, answer)
+    }
+
+    /// Answers a request like [`Keeper::request`], except that a shortage is not final.
+    ///
+    /// As long as no copy of the request was answered by [`Keeper::request`], the caller may wait
+    /// for the draw and ask again.
+    pub fn offer(&mut self, request: &SliceRequest, now_ms: u64) -> SliceReply {
+        let answer = self.answer(request, now_ms);
+        if matches!(answer, SliceAnswer::Granted(_) | SliceAnswer::Exhausted) {
+            self.keep_answer(request, &answer, now_ms);
+        }
+        self.reply(request, answer)
+    }
+
+    fn reply(&self, request: &SliceRequest, answer: SliceAnswer) -> SliceReply {
         SliceReply {
             number: request.number,
-            oldest_open_grant,
+            oldest_open_grant: self.oldest_open_grant(&request.budget),
             unspent: self
                 .ledger
                 .balance(&request.budget)
@@ -156,16 +178,16 @@
                 return SliceAnswer::Stale;
             }
         }
-        let answer = self.decide(request, balance, now_ms);
-        // A refusal is kept as well: a late copy of the request must not open a slice, as the router
-        // has moved on to its next request by then.
+        self.decide(request, balance, now_ms)
+    }
+
+    fn keep_answer(&mut self, request: &SliceRequest, answer: &SliceAnswer, now_ms: u64) {
         let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
         let answered = Answered {
             number: request.number,
             answer: answer.clone(),
         };
         account.answered.insert(request.router, answered);
-        answer
     }
 
     fn decide(&mut self, request: &SliceRequest, balance: Balance, now_ms: u64) -> SliceAnswer {
@@ -223,7 +245,7 @@
             return;
         };
         let account = account_mut(&mut self.accounts, &self.settings, budget, now_ms);
-        if account.draw.is_some() || balance.left() == Tokens::ZERO {
+        if self.closing || account.draw.is_some() || balance.left() == Tokens::ZERO {
             return;
         }
         let share = Tokens(balance.left().0 / self.settings.share_divisor);
@@ -308,8 +330,9 @@
         }
     }
 
-    /// Returns all grants from now on as soon as no slice of them is out.
+    /// Returns all grants from now on as soon as no slice of them is out, and draws no more.
     pub fn close(&mut self) {
+        self.closing = true;
         self.settings.idle_ms = 0;
         self.settings.scarce_idle_ms = 0;
     }
--- a/crates/mallowpath/src/keeper_task.rs
+++ b/crates/mallowpath/src/keeper_task.rs
@@ -105,16 +105,19 @@
         let give_up = Instant::now() + Duration::from_millis(WAIT_FOR_DRAW_MS);
         loop {
             let replayed = self.replayed.notified();
-            let reply = self.keeper().request(request, now_ms());
+            let reply = self.keeper().offer(request, now_ms());
             self.work.notify_one();
             let may_change = matches!(
                 reply.answer,
                 SliceAnswer::Short { .. } | SliceAnswer::UnknownBudget
             );
-            let left = give_up.saturating_duration_since(Instant::now());
-            if !may_change || timeout(left, replayed).await.is_err() {
+            if !may_change {
                 return reply;
             }
+            let left = give_up.saturating_duration_since(Instant::now());
+            if timeout(left, replayed).await.is_err() {
+                return self.keeper().request(request, now_ms());
+            }
         }
     }
 
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -95,6 +95,7 @@
 pub use bill::{Bill, BillBatch, BillOutcome, BillRecord, PartRecord, charge, sum_parts};
 pub use bill_book::{BillBook, BillCounts, BillSettings, BillState, BillWatermark, Recorded};
 pub use bill_shelf::{BillShelf, SidecarConfirmation};
+pub use bills::BILL_STREAMS;
 pub use change::{
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
@@ -120,13 +121,14 @@
 pub use ini::{IniDocument, IniSection, IniValue};
 pub use issue::{Issue, IssueReport, Place};
 pub use keeper::{Keeper, KeeperSettings};
+pub use keeper_task::ledger_stream;
 pub use key::{
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
 };
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
-pub use ledger::{DEDUPE_WINDOW_OFFSETS, Ledger, MAX_BUDGET_TOKENS, shard_of};
+pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
     RecordId, TopUpRecord,
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -35,6 +35,7 @@
     fenced_keepers: BTreeSet<Incarnation>,
     closed_grants: BTreeSet<GrantId>,
     last_request: u64,
+    closing: bool,
     revoked: bool,
 }
 
@@ -107,6 +108,7 @@
             fenced_keepers: BTreeSet::new(),
             closed_grants: BTreeSet::new(),
             last_request: 0,
+            closing: false,
             revoked: false,
         }
     }
@@ -181,7 +183,7 @@
                 outgoing.push(pending.to_outgoing());
             }
         }
-        if self.revoked {
+        if self.revoked || self.closing {
             return outgoing;
         }
         for (budget, account) in &mut self.accounts {
@@ -295,8 +297,9 @@
         }
     }
 
-    /// Returns all slices from now on as soon as nothing of them is reserved.
+    /// Returns all slices from now on as soon as nothing of them is reserved, and asks for no more.
     pub fn close(&mut self) {
+        self.closing = true;
         self.settings.idle_ms = 0;
     }
 
