--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -258,7 +258,8 @@
             .set("log_service", log)
             .set("heartbeat_ms", timing.heartbeat_ms)
             .set("peer_timeout_ms", timing.peer_timeout_ms)
-            .set("connect_timeout_ms", timing.connect_timeout_ms);
+            .set("connect_timeout_ms", timing.connect_timeout_ms)
+            .set("lost_router_ms", timing.lost_router_ms);
     }
 
     fn zone(&self, number: usize) -> String {
@@ -449,6 +450,7 @@
             timing: PeerTiming {
                 heartbeat_ms: 200,
                 peer_timeout_ms: 700,
+                lost_router_ms: 1_500,
                 ..PeerTiming::default()
             },
             drain_notice_ms: 200,
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -11,6 +11,7 @@
 mod bill_shelf;
 mod bills;
 mod budgets;
+mod callers;
 mod candidates;
 mod change;
 mod chat;
@@ -66,6 +67,7 @@
 mod refusal;
 mod rendezvous;
 mod replay;
+mod reservation;
 mod retry;
 mod route;
 mod router;
@@ -101,6 +103,7 @@
     SectionNameRecord, SectionRecord, diff,
 };
 pub use chat::{ChatRequest, StreamEvent, Usage};
+pub use checkpoint::LoggedCheckpoint;
 pub use claim_verdict::ClaimVerdict;
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
 pub use eject::{EjectSettings, Outliers};
@@ -158,6 +161,7 @@
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
 pub use replay::{ConfigLoader, ConfigState, ConfigVerdict, ConfigVoid, ReplayError};
+pub use reservation::{Reservation, ReserveOutcome, SlicePart};
 pub use retry::{FailedTry, NoRetry, RetryBudget, RetrySettings, TryOutcome};
 pub use route::{Choice, NoBackend, Reason, RouteRequest, RouteSettings, RouteTable};
 pub use router::{Router, RouterAddresses};
@@ -173,6 +177,4 @@
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
-pub use wallet::{
-    OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings,
-};
+pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -7,7 +7,6 @@
     bill::BillBatch,
     bill_book::BillWatermark,
     bill_shelf::BillShelf,
-    bills::LOST_ROUTER_MS,
     engine::Engine,
     error::Result,
     id::{Incarnation, RequestId},
@@ -226,9 +225,10 @@
         link.closed().await;
         self.links().retain(|held| !Arc::ptr_eq(held, &link));
         self.routers_seen.closed(router);
-        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        let pause = Duration::from_millis(self.settings.timing.lost_router_ms);
+        tokio::time::sleep(pause).await;
         while !self.routers_seen.is_open(router) && !self.hand_over_bills(router).await {
-            tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+            tokio::time::sleep(pause).await;
         }
     }
 
