--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
-    bills::{Bills, LOST_ROUTER_MS},
+    bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
     config_task::Configuration,
@@ -317,7 +317,7 @@
         self.peers_seen.opened(peer);
         link.closed().await;
         self.peers_seen.closed(peer);
-        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        tokio::time::sleep(Duration::from_millis(self.settings.timing.lost_router_ms)).await;
         if !self.peers_seen.is_open(peer) {
             self.bills.adopt_from_shelf(peer);
         }
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -50,6 +50,8 @@
     pub platform_timeout_ms: u64,
     /// How long a read at the end of a stream or list waits for news.
     pub platform_wait_ms: u64,
+    /// How long a router may be gone before others bring its bills to the log.
+    pub lost_router_ms: u64,
 }
 
 /// Settings of a router.
@@ -313,6 +315,7 @@
         connect_timeout_ms: millis(reader, "connect_timeout_ms", default.connect_timeout_ms),
         platform_timeout_ms: millis(reader, "platform_timeout_ms", default.platform_timeout_ms),
         platform_wait_ms: millis(reader, "platform_wait_ms", default.platform_wait_ms),
+        lost_router_ms: millis(reader, "lost_router_ms", default.lost_router_ms),
     };
     if timing.peer_timeout_ms < 2 * timing.heartbeat_ms {
         reject_timing(reader, &timing);
@@ -364,6 +367,7 @@
             connect_timeout_ms: 1_000,
             platform_timeout_ms: 5_000,
             platform_wait_ms: 2_000,
+            lost_router_ms: 10_000,
         }
     }
 }
