Give backend servers the orders that the configuration asks for

Cause: roles and versions in [backend] rules were read and never acted on; the gate for orders and the queue for loads stood unused. Ruled out: each router coordinating its own share of the servers, since the weight store's limit would have to be split over 370 of them. Change: one coordinating router a region claims the right in the orders stream and gives orders with its offset as fencing number; the sidecar's gate passes them on, and looks at the server when it does not know whether an earlier order goes on; loads are paced, roles are not; the stand-in engine says what it was ordered. 16 ledger shards, as the design's arithmetic has it, in place of 32. Seen to fail first: another_router_goes_on_with_a_newer_right with a router that uses another's right. Conclusion: both kinds of engines reach version and role. A coordinator that is paused with an order under way is proved only for the gate (tests/order.rs), not over processes.

--- /dev/null
+++ b/crates/embedded/tests/orders.rs
@@ -0,0 +1,137 @@
+//! Orders that bring backend servers to the role and version that the configuration asks for.
+
+use mallowpath::{IniDocument, LogClient, LogClientSettings, Published, publish, sections_of};
+use mallowpath_embedded::{Site, SiteSettings};
+use mallowpath_standins::{client, engine, host_list};
+use serde_json::{Value, json};
+use std::time::{Duration, Instant};
+
+const EXAMPLE: &str = include_str!("../example/fleet.ini");
+const WITHIN: Duration = Duration::from_secs(12);
+
+fn engines(fencing: &[engine::Fencing]) -> Vec<(String, engine::Settings)> {
+    let mut engines = Vec::new();
+    for fencing in fencing {
+        let settings = engine::Settings {
+            model: "small".into(),
+            fencing: *fencing,
+            model_load_ms: 100,
+            ..engine::Settings::default()
+        };
+        engines.push(("small".into(), settings));
+    }
+    engines
+}
+
+async fn publish_rules(site: &Site, rules: &str) {
+    let mut document = IniDocument::default();
+    document.merge_text("fleet.ini", EXAMPLE);
+    document.merge_text("rules.ini", rules);
+    let log = LogClient::new(site.log.address, LogClientSettings::default());
+    let published = publish(&log, &sections_of(&document), "test")
+        .await
+        .expect("published");
+    assert!(matches!(published, Published::Accepted(_)), "{published:?}");
+}
+
+async fn ordered(site: &Site, engine: usize) -> Value {
+    let address = site.engines[engine].address;
+    client::call(address, "GET /v1/orders", &[], "")
+        .await
+        .expect("an answer")
+        .json()
+}
+
+async fn wait_for_role(site: &Site, engine: usize, role: &str) -> Duration {
+    let started = Instant::now();
+    while ordered(site, engine).await["role"] != role {
+        assert!(
+            started.elapsed() < WITHIN,
+            "engine {engine} never became {role}"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    started.elapsed()
+}
+
+#[tokio::test]
+async fn both_kinds_of_engines_reach_their_version_and_role() {
+    let fencing = [engine::Fencing::Refuse, engine::Fencing::Ignore];
+    let settings = SiteSettings {
+        engines: engines(&fencing),
+        ..SiteSettings::default()
+    };
+    let site = Site::start(settings).await.expect("the site starts");
+    let rule = "service = small\nversion = v2\nrole = decode\n";
+    let rules = format!("[backend small-0]\n{rule}[backend small-1]\n{rule}");
+    publish_rules(&site, &rules).await;
+    for engine in 0..fencing.len() {
+        wait_for_role(&site, engine, "decode").await;
+        let state = ordered(&site, engine).await;
+        assert!(
+            state["models"]
+                .as_array()
+                .expect("a list")
+                .contains(&json!("small@v2")),
+            "{state}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn another_router_goes_on_with_a_newer_right() {
+    let fencing = [engine::Fencing::Ignore];
+    let settings = SiteSettings {
+        routers: 2,
+        engines: engines(&fencing),
+        ..SiteSettings::default()
+    };
+    let site = Site::start(settings).await.expect("the site starts");
+    publish_rules(
+        &site,
+        "[backend small-0]\nservice = small\nrole = prefill\n",
+    )
+    .await;
+    wait_for_role(&site, 0, "prefill").await;
+    let names = ["router-0", "router-1"];
+    for name in names {
+        host_list::drop_out(site.hosts.address, name)
+            .await
+            .expect("removed");
+        let role = format!("without-{name}");
+        publish_rules(
+            &site,
+            &format!("[backend small-0]\nservice = small\nrole = {role}\n"),
+        )
+        .await;
+        wait_for_role(&site, 0, &role).await;
+        if name == names[0] {
+            enter_again(&site, 0).await;
+        }
+    }
+    let stats = client::call(site.engines[0].address, "GET /v1/stats", &[], "").await;
+    let stats = stats.expect("an answer").json();
+    let accepted = stats["orders"].as_array().cloned().unwrap_or_default();
+    let mut last = 0;
+    for order in &accepted {
+        let fence = order["fence"].as_u64().expect("a fencing number");
+        assert!(fence >= last, "an older right got through: {accepted:?}");
+        last = fence;
+    }
+    assert!(accepted.len() >= 3, "{stats}");
+    assert!(last > accepted[0]["fence"].as_u64().expect("a fencing number"), "{accepted:?}");
+}
+
+async fn enter_again(site: &Site, router: usize) {
+    let host = host_list::Host {
+        name: format!("router-{router}"),
+        address: site.routers[router].1.peers,
+        role: "router".into(),
+        availability_zone: "zone-0".into(),
+        region: "local".into(),
+        state: "live".into(),
+    };
+    host_list::enter(site.hosts.address, &host)
+        .await
+        .expect("entered");
+}
--- a/crates/mallowpath/src/fleet_read.rs
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -9,7 +9,7 @@
     id::{ServiceId, Tokens},
     ini::IniDocument,
     issue::{Issue, IssueReport, nearest},
-    section::{Reader, Section, SectionName, Sections, sections_of},
+    section::{Reader, Section, SectionName, Sections, YES_OR_NO, sections_of},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,7 +20,6 @@
 const KINDS: [&str; 5] = ["backend", "budget", "fleet", "service", "workspace"];
 const NAME: &str = "a name of letters, digits and - _ . / :";
 const HASHES: &str = "SHA-256 hashes of 64 hexadecimal digits, separated by commas";
-const YES_OR_NO: [(&str, bool); 2] = [("yes", true), ("no", false)];
 
 const DEFAULT_WEIGHT: u64 = 1;
 const MAX_WEIGHT: u64 = 1_000;
--- a/crates/mallowpath/src/ledger.rs
+++ b/crates/mallowpath/src/ledger.rs
@@ -47,7 +47,7 @@
 }
 
 /// The number of ledger streams; all processes of a fleet must agree on it.
-pub const LEDGER_SHARDS: u32 = 32;
+pub const LEDGER_SHARDS: u32 = 16;
 
 /// Returns the shard of a budget among `shards` shards.
 pub fn shard_of(budget: &BudgetId, shards: u32) -> u32 {
--- a/crates/mallowpath/src/peers.rs
+++ b/crates/mallowpath/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     host_client::{HostEntry, HostList, HostRole, HostState},
-    id::Zone,
+    id::{Region, Zone},
     rendezvous::{Candidate, pick, pick_n, rendezvous_key},
     settings::HostSettings,
 };
@@ -56,6 +56,19 @@
     pick(key, &candidates(&routers)).map(|index| routers[index])
 }
 
+/// Returns the router that coordinates the orders of a region.
+pub(crate) fn order_coordinator<'a>(region: &Region, hosts: &'a HostList) -> Option<&'a HostEntry> {
+    let mut routers = Vec::new();
+    for host in &hosts.hosts {
+        let live = host.role == HostRole::Router && host.state == HostState::Live;
+        if live && host.region == *region {
+            routers.push(host);
+        }
+    }
+    let key = rendezvous_key("orders");
+    pick(key, &candidates(&routers)).map(|index| routers[index])
+}
+
 fn candidates<'a>(hosts: &[&'a HostEntry]) -> Vec<Candidate<'a>> {
     let mut candidates = Vec::with_capacity(hosts.len());
     for host in hosts {
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -17,6 +17,7 @@
     job::Job,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
+    order_task::OrderDesk,
     peers::{sidecar_addresses, witness_addresses},
     refusal::Refusal,
     route::RouteSettings,
@@ -53,6 +54,7 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) orders: OrderDesk,
     routes: Routes,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
@@ -115,6 +117,7 @@
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                orders: OrderDesk::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
                 draining: AtomicBool::new(false),
@@ -144,6 +147,7 @@
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -241,6 +245,7 @@
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "orders": self.orders.dump(),
         })
     }
 
@@ -287,6 +292,7 @@
             self.bills.heard(link.peer_incarnation(), heartbeat);
         } else {
             self.routes.heard(link, heartbeat);
+            self.orders.heard(link, &heartbeat.ordered);
         }
     }
 
--- a/crates/mallowpath/src/routes.rs
+++ b/crates/mallowpath/src/routes.rs
@@ -191,6 +191,16 @@
         Value::Object(dump)
     }
 
+    /// Returns the connection to the sidecar of a backend server.
+    pub(crate) fn link(&self, backend: &BackendId) -> Option<Arc<Link>> {
+        for service in self.services().values() {
+            if let Some(link) = service.links.get(backend) {
+                return Some(Arc::clone(link));
+            }
+        }
+        None
+    }
+
     /// Returns the number of backend servers that take work.
     pub(crate) fn taking_work(&self) -> usize {
         let now_ms = now_ms();
--- a/crates/mallowpath/src/section.rs
+++ b/crates/mallowpath/src/section.rs
@@ -77,6 +77,9 @@
     sections
 }
 
+/// The words of a setting that is on or off.
+pub(crate) const YES_OR_NO: [(&str, bool); 2] = [("yes", true), ("no", false)];
+
 /// Reads typed values out of one section and notes every issue.
 ///
 /// A key counts as known once it has been asked for, so what is read and what is accepted agree.
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -8,7 +8,7 @@
     ini::IniDocument,
     issue::{Issue, IssueReport, nearest},
     link::LinkSettings,
-    section::{Reader, Section, sections_of},
+    section::{Reader, Section, YES_OR_NO, sections_of},
 };
 use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc};
 
@@ -116,6 +116,10 @@
     pub unconfirmed_after_ms: u64,
     /// Interval between reads of the backend server's load.
     pub load_poll_ms: u64,
+    /// Whether the backend server refuses orders with an old fencing number itself.
+    pub server_checks_fences: bool,
+    /// How long an order may take before the backend server's state is called unknown.
+    pub order_timeout_ms: u64,
 }
 
 impl PeerTiming {
@@ -269,6 +273,12 @@
         keep_answer_ms: millis(reader, "keep_answer_ms", default.keep_answer_ms),
         unconfirmed_after_ms: millis(reader, "unconfirmed_after_ms", default.unconfirmed_after_ms),
         load_poll_ms: millis(reader, "load_poll_ms", default.load_poll_ms),
+        server_checks_fences: reader.choice(
+            "server_checks_fences",
+            &YES_OR_NO,
+            default.server_checks_fences,
+        ),
+        order_timeout_ms: millis(reader, "order_timeout_ms", default.order_timeout_ms),
     };
     let host = host?;
     check_listen(
@@ -394,6 +404,8 @@
             keep_answer_ms: 600_000,
             unconfirmed_after_ms: 30_000,
             load_poll_ms: 500,
+            server_checks_fences: false,
+            order_timeout_ms: 60_000,
         }
     }
 }
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -12,11 +12,13 @@
     id::{Incarnation, RequestId},
     link::{Endpoint, Link, now_ms},
     load_poll::poll_load,
+    order::OrderSettings,
     run::{RunSettings, RunTable},
     running::Running,
     seen::PeersSeen,
     settings::SidecarSettings,
     sidecar_calls::serve_call,
+    sidecar_orders::SidecarOrders,
     wire::{Body, End, Head, Heartbeat, Hello, KeepBills, Load},
 };
 use prost::Message;
@@ -44,6 +46,7 @@
     pub(crate) settings: SidecarSettings,
     pub(crate) incarnation: Incarnation,
     pub(crate) engine: Engine,
+    pub(crate) orders: SidecarOrders,
     pub(crate) running: Running,
     runs: Mutex<Runs>,
     bills: Mutex<BillShelf>,
@@ -116,9 +119,14 @@
             max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
             ..RunSettings::default()
         };
+        let order_settings = OrderSettings {
+            server_checks_fences: settings.tuning.server_checks_fences,
+            timeout_ms: settings.tuning.order_timeout_ms,
+        };
         let sidecar = Arc::new(Self {
             incarnation,
             engine: Engine::new(settings.backend_address),
+            orders: SidecarOrders::new(settings.backend_address, order_settings),
             running: Running::default(),
             runs: Mutex::new(Runs {
                 table: RunTable::new(incarnation, run_settings, []),
@@ -208,6 +216,7 @@
             "service": self.settings.service,
             "draining": self.draining.load(Ordering::Relaxed),
             "running": running,
+            "order_state_unknown": self.orders.is_state_unknown(),
             "kept_bytes": kept_bytes,
             "runs": runs,
             "bills_kept": bills,
@@ -343,6 +352,7 @@
             config_version: state.config_version,
             accepting,
             load,
+            ordered: self.orders.ordered(),
             ..Heartbeat::default()
         }
     }
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -24,6 +24,10 @@
         Body::Submit(submit) => serve_submit(sidecar, submit, responder).await,
         Body::Attach(attach) => serve_attach(&sidecar, &attach, &responder).await,
         Body::Stop(stop) => serve_stop(&sidecar, &stop, &responder).await,
+        Body::Order(order) => {
+            let reply = sidecar.orders.pass_on(&order).await;
+            answer(&responder, Body::OrderReply(reply)).await;
+        }
         Body::Fence(fence) => serve_fence(&sidecar, &fence, &responder).await,
         Body::BillsLogged(logged) => {
             sidecar.bills_logged(&logged);
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -144,11 +144,25 @@
     /// The state that the configuration gives the receiver's backend server, from a router.
     #[prost(string, tag = "5")]
     pub backend_state: String,
+    /// What the backend server was ordered to be, from a sidecar.
+    #[prost(message, repeated, tag = "7")]
+    pub ordered: Vec<Ordered>,
     /// The log has all bills of the sender's requests below this number, from a router.
     #[prost(uint64, tag = "6")]
     pub bills_logged_below: u64,
 }
 
+/// An order that a backend server has carried out.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Ordered {
+    /// The kind of the order, as the backend server calls it.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    /// What it names.
+    #[prost(string, tag = "2")]
+    pub name: String,
+}
+
 /// A load report of a backend server.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Load {
@@ -505,17 +519,17 @@
     /// Fencing number.
     #[prost(uint64, tag = "1")]
     pub fence: u64,
-    /// The order as JSON, as the backend server takes it.
-    #[prost(string, tag = "2")]
-    pub order: String,
+    /// The order.
+    #[prost(message, required, tag = "2")]
+    pub order: Ordered,
 }
 
 /// What became of an order.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OrderReply {
-    /// `done`, `refused` or `unknown`.
-    #[prost(string, tag = "1")]
-    pub outcome: String,
+    /// What became of it.
+    #[prost(enumeration = "OrderOutcome", tag = "1")]
+    pub outcome: i32,
     /// The highest fencing number that the sidecar has seen.
     #[prost(uint64, tag = "2")]
     pub fence: u64,
@@ -529,6 +543,22 @@
     pub request: WireId,
 }
 
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderOutcome {
+    /// Nobody knows whether the backend server carried it out.
+    Unknown = 0,
+    /// The backend server carried it out.
+    Done = 1,
+    /// The sender's right is superseded.
+    TooOld = 2,
+    /// An earlier order has to end first.
+    Busy = 3,
+    /// The backend server refused it.
+    Refused = 4,
+}
+
 /// A call that could not be done.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CallFailed {
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -101,6 +101,8 @@
     pub(crate) highest_fence: u64,
     pub(crate) models: BTreeSet<String>,
     pub(crate) role: String,
+    /// Orders accepted and not yet carried out.
+    pub(crate) in_progress: usize,
     pub(crate) accepted: Vec<serde_json::Value>,
 }
 
@@ -115,6 +117,7 @@
         highest_fence: 0,
         models: BTreeSet::from([settings.model.clone()]),
         role: String::new(),
+        in_progress: 0,
         accepted: Vec::new(),
     };
     let batch = Batch::new(settings.seed);
--- a/crates/standins/src/engine_api.rs
+++ b/crates/standins/src/engine_api.rs
@@ -88,7 +88,7 @@
         .route("/v1/requests/{id}", delete(cancel))
         .route("/v1/load", get(load))
         .route("/v1/cache/events", get(cache_events))
-        .route("/v1/orders", post(order))
+        .route("/v1/orders", post(order).get(ordered))
         .route("/v1/kv/{prefix_hash}", get(export_kv).put(import_kv))
         .layer(middleware::from_fn_with_state(
             Arc::clone(&service),
@@ -182,11 +182,31 @@
             0
         }
     };
-    sleep(Duration::from_millis(wait_ms)).await;
-    if matches!(request.order.kind, OrderKind::LoadModel) {
-        lock(&service.orders).models.insert(name);
+    // The order goes on when the one who gave it hangs up.
+    let is_model = matches!(request.order.kind, OrderKind::LoadModel);
+    let work = tokio::spawn(carry_out(service, is_model.then_some(name), wait_ms));
+    match work.await {
+        Ok(()) => Json(json!({})).into_response(),
+        Err(_) => error(StatusCode::INTERNAL_SERVER_ERROR, "the order failed"),
     }
-    Json(json!({})).into_response()
+}
+
+async fn carry_out(service: Arc<Service>, model: Option<String>, wait_ms: u64) {
+    lock(&service.orders).in_progress += 1;
+    sleep(Duration::from_millis(wait_ms)).await;
+    let mut orders = lock(&service.orders);
+    orders.in_progress -= 1;
+    orders.models.extend(model);
+}
+
+async fn ordered(State(service): State<Arc<Service>>) -> Response {
+    let orders = lock(&service.orders);
+    Json(json!({
+        "in_progress": orders.in_progress,
+        "models": orders.models,
+        "role": orders.role,
+    }))
+    .into_response()
 }
 
 async fn export_kv(State(service): State<Arc<Service>>, Path(prefix): Path<String>) -> Response {
