--- a/crates/embedded/tests/orders.rs
+++ b/crates/embedded/tests/orders.rs
@@ -119,7 +119,10 @@
         last = fence;
     }
     assert!(accepted.len() >= 3, "{stats}");
-    assert!(last > accepted[0]["fence"].as_u64().expect("a fencing number"), "{accepted:?}");
+    assert!(
+        last > accepted[0]["fence"].as_u64().expect("a fencing number"),
+        "{accepted:?}"
+    );
 }
 
 async fn enter_again(site: &Site, router: usize) {
