Fence lost routers and reclaim what they left unspent

Cause: sidecars joined nothing, fences were written by nobody, and the slices of a router that died stayed out for ever.

Change: routers follow `members`; a sidecar serves only after its own join was seen valid and with all earlier fences in force, and leaves at the end of a drain. A keeper fences a router that lost its connections and whose host is gone from the host list or runs another router, collects every sidecar's word and takes back what is proven unspent. A fenced router ends itself. Heartbeats carry closed grants and requests billed by others. Ledger and members checkpoints are paced by what the log still keeps. `audit_log` compares ledgers and bills of a whole log.

Faults found on the way: * A sidecar that had left or was replaced did not have to confirm, so what it billed counted as unspent and came back.

Not done: reclaim of a lost keeper's grants.

--- a/crates/embedded/src/lib.rs
+++ b/crates/embedded/src/lib.rs
@@ -3,6 +3,7 @@
 //! It is what the README's first command runs, and a base for measurements.
 
 mod configuration;
+mod process;
 mod site;
 
 pub use configuration::{EXAMPLE_KEY, example_configuration};
--- a/crates/embedded/src/site.rs
+++ b/crates/embedded/src/site.rs
@@ -1,11 +1,12 @@
 //! Starting and stopping the processes of a small fleet inside this process.
 
-use crate::example_configuration;
+use crate::{example_configuration, process::Process};
 use mallowpath::{
     HostSettings, LogClient, LogClientSettings, PeerTiming, Router, RouterAddresses,
-    RouterSettings, RouterTuning, Sections, Sidecar, SidecarSettings, SidecarTuning, publish,
+    RouterSettings, RouterTuning, Sections, Sidecar, SidecarAddresses, SidecarSettings,
+    SidecarTuning, publish,
 };
-use mallowpath_standins::{engine, host_list, log_service, plain_service};
+use mallowpath_standins::{client, engine, host_list, log_service, plain_service};
 use std::{
     error::Error,
     net::{Ipv4Addr, SocketAddr},
@@ -48,6 +49,13 @@
     pub routers: Vec<(Arc<Router>, RouterAddresses)>,
     /// The sidecars.
     pub sidecars: Vec<Arc<Sidecar>>,
+    /// The addresses of the sidecars, in the same order.
+    pub sidecar_addresses: Vec<SidecarAddresses>,
+    settings: SiteSettings,
+    router_processes: Vec<Process>,
+    sidecar_processes: Vec<Process>,
+    /// Service and backend address of each sidecar, for a restart.
+    backends: Vec<(String, SocketAddr)>,
     /// The log service.
     pub log: mallowpath_standins::Handle<log_service::Settings>,
     /// The host list.
@@ -72,6 +80,11 @@
         let mut site = Self {
             routers: Vec::new(),
             sidecars: Vec::new(),
+            sidecar_addresses: Vec::new(),
+            settings: settings.clone(),
+            router_processes: Vec::new(),
+            sidecar_processes: Vec::new(),
+            backends: Vec::new(),
             log,
             hosts,
             engines: Vec::new(),
@@ -91,39 +104,51 @@
             let handle = engine::start(engine.clone()).await?;
             let address = handle.address;
             self.engines.push(handle);
-            self.start_sidecar(settings, model, address).await?;
+            self.start_sidecar(model, address).await?;
         }
         for (service, behaviour) in &settings.services {
             let handle = plain_service::start(behaviour.clone()).await?;
             let address = handle.address;
             self.services.push(handle);
-            self.start_sidecar(settings, service, address).await?;
+            self.start_sidecar(service, address).await?;
         }
         Ok(())
     }
 
     async fn start_sidecar(
         &mut self,
-        settings: &SiteSettings,
         service: &str,
         backend_address: SocketAddr,
     ) -> Result<(), Box<dyn Error + Send + Sync>> {
         let number = self.sidecars.len();
+        self.backends.push((service.to_owned(), backend_address));
+        let (process, sidecar, addresses) = self.sidecar_process(number).await?;
+        self.sidecar_processes.push(process);
+        self.sidecars.push(sidecar);
+        self.sidecar_addresses.push(addresses);
+        Ok(())
+    }
+
+    async fn sidecar_process(
+        &self,
+        number: usize,
+    ) -> Result<(Process, Arc<Sidecar>, SidecarAddresses), Box<dyn Error + Send + Sync>> {
+        let (service, backend_address) = &self.backends[number];
         let name = format!("{service}-{number}");
         let sidecar_settings = SidecarSettings {
-            host: self.place(&name, settings, number)?,
+            host: self.place(&name, &self.settings, number)?,
             backend: name.parse()?,
-            backend_address,
+            backend_address: *backend_address,
             service: service.parse()?,
-            timing: settings.timing.clone(),
-            tuning: settings.sidecar_tuning.clone(),
+            timing: self.settings.timing.clone(),
+            tuning: self.settings.sidecar_tuning.clone(),
         };
         let zone = sidecar_settings.host.zone.to_string();
-        let (sidecar, addresses) = Sidecar::start(sidecar_settings).await?;
+        let process = Process::new()?;
+        let (sidecar, addresses) = process.run(Sidecar::start(sidecar_settings)).await??;
         self.register(&name, "sidecar", &zone, addresses.peers)
             .await?;
-        self.sidecars.push(sidecar);
-        Ok(())
+        Ok((process, sidecar, addresses))
     }
 
     async fn start_routers(
@@ -131,27 +156,91 @@
         settings: &SiteSettings,
     ) -> Result<(), Box<dyn Error + Send + Sync>> {
         for number in 0..settings.routers {
-            let name = format!("router-{number}");
-            let callers_listen = if number == 0 {
-                settings.callers_listen
-            } else {
-                free_port()
-            };
-            let router_settings = RouterSettings {
-                host: self.place(&name, settings, number)?,
-                callers_listen,
-                timing: settings.timing.clone(),
-                tuning: settings.router_tuning.clone(),
-            };
-            let zone = router_settings.host.zone.to_string();
-            let (router, addresses) = Router::start(router_settings).await?;
-            self.register(&name, "router", &zone, addresses.peers)
-                .await?;
-            self.routers.push((router, addresses));
+            let (process, router) = self.router_process(number).await?;
+            self.router_processes.push(process);
+            self.routers.push(router);
         }
         Ok(())
     }
 
+    async fn router_process(
+        &self,
+        number: usize,
+    ) -> Result<(Process, (Arc<Router>, RouterAddresses)), Box<dyn Error + Send + Sync>> {
+        let name = format!("router-{number}");
+        let callers_listen = if number == 0 {
+            self.settings.callers_listen
+        } else {
+            free_port()
+        };
+        let router_settings = RouterSettings {
+            host: self.place(&name, &self.settings, number)?,
+            callers_listen,
+            timing: self.settings.timing.clone(),
+            tuning: self.settings.router_tuning.clone(),
+        };
+        let zone = router_settings.host.zone.to_string();
+        let process = Process::new()?;
+        let (router, addresses) = process.run(Router::start(router_settings)).await??;
+        self.register(&name, "router", &zone, addresses.peers)
+            .await?;
+        Ok((process, (router, addresses)))
+    }
+
+    /// Ends a router as a crash does; the host list still has its host.
+    pub fn kill_router(&mut self, number: usize) {
+        self.router_processes[number].kill();
+    }
+
+    /// Ends a sidecar as a crash does; the host list still has its host.
+    pub fn kill_sidecar(&mut self, number: usize) {
+        self.sidecar_processes[number].kill();
+    }
+
+    /// Starts a router anew under its host's name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub async fn restart_router(
+        &mut self,
+        number: usize,
+    ) -> Result<(), Box<dyn Error + Send + Sync>> {
+        self.kill_router(number);
+        let (process, router) = self.router_process(number).await?;
+        self.router_processes[number] = process;
+        self.routers[number] = router;
+        Ok(())
+    }
+
+    /// Starts a sidecar anew under its host's name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it can't be started.
+    pub async fn restart_sidecar(
+        &mut self,
+        number: usize,
+    ) -> Result<(), Box<dyn Error + Send + Sync>> {
+        self.kill_sidecar(number);
+        let (process, sidecar, addresses) = self.sidecar_process(number).await?;
+        self.sidecar_processes[number] = process;
+        self.sidecars[number] = sidecar;
+        self.sidecar_addresses[number] = addresses;
+        Ok(())
+    }
+
+    /// Takes a host off the host list, as the platform does once it is gone.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the host list can't be reached.
+    pub async fn unlist(&self, name: &str) -> Result<(), Box<dyn Error + Send + Sync>> {
+        let path = format!("DELETE /v1/hosts/{name}");
+        client::call(self.hosts.address, &path, &[], "").await?;
+        Ok(())
+    }
+
     fn place(
         &self,
         name: &str,
@@ -190,7 +279,7 @@
     }
 
     /// Waits until every router has a connection to every sidecar.
-    async fn wait_until_connected(&self) {
+    pub async fn wait_until_connected(&self) {
         for _ in 0..READY_TRIES {
             let mut connected = true;
             for (router, _) in &self.routers {
--- a/crates/mallowpath/src/bill_shelf.rs
+++ b/crates/mallowpath/src/bill_shelf.rs
@@ -8,6 +8,9 @@
     ops::RangeInclusive,
 };
 
+/// How many requests one heartbeat names.
+const MAX_HEARTBEAT_REQUESTS: usize = 64;
+
 /// The bills kept by one process, and what they sum to for each slice.
 #[derive(Debug, Default)]
 pub struct BillShelf {
@@ -98,6 +101,19 @@
             .collect()
     }
 
+    /// Returns the sequence numbers of [`BillShelf::logged_elsewhere`], as many as go into one
+    /// heartbeat; the router's watermark then makes place for the rest.
+    pub fn billed_elsewhere(&self, router: Incarnation) -> Vec<u64> {
+        let mut sequences = Vec::new();
+        for request in self.logged_elsewhere.range(requests_of(router)) {
+            if sequences.len() >= MAX_HEARTBEAT_REQUESTS {
+                break;
+            }
+            sequences.push(request.sequence);
+        }
+        sequences
+    }
+
     /// Forgets all about a router whose requests are all billed and whose grants are all closed.
     ///
     /// Only that it is sealed is remembered.
@@ -155,6 +171,11 @@
         }
     }
 
+    /// Returns whether a router's bills were sealed.
+    pub fn is_sealed(&self, router: Incarnation) -> bool {
+        self.sealed.contains(&router)
+    }
+
     /// Returns how many bills are kept.
     pub fn count(&self) -> usize {
         self.bills.len()
--- a/crates/mallowpath/src/bills.rs
+++ b/crates/mallowpath/src/bills.rs
@@ -38,6 +38,7 @@
 /// Bills of own requests, and bills kept for other routers.
 #[derive(Debug)]
 pub(crate) struct Bills {
+    router: Incarnation,
     stream: Arc<str>,
     book: Mutex<BillBook>,
     shelf: Mutex<BillShelf>,
@@ -51,7 +52,12 @@
 
 /// Returns the bill stream of a router.
 pub fn bill_stream(router: Incarnation) -> String {
-    format!("bills-{:02}", router.0 % BILL_STREAMS)
+    bill_stream_name(router.0 % BILL_STREAMS)
+}
+
+/// Returns the name of a bill stream, given its number.
+pub(crate) fn bill_stream_name(number: u64) -> String {
+    format!("bills-{number:02}")
 }
 
 impl Bills {
@@ -62,6 +68,7 @@
             ..BillSettings::default()
         };
         Self {
+            router,
             stream: Arc::from(bill_stream(router)),
             book: Mutex::new(BillBook::new(router, settings)),
             shelf: Mutex::new(BillShelf::default()),
@@ -131,6 +138,24 @@
         });
     }
 
+    /// Returns which requests of another router were billed for it by others.
+    pub(crate) fn billed_elsewhere(&self, peer: Incarnation) -> Vec<u64> {
+        self.shelf().billed_elsewhere(peer)
+    }
+
+    /// Closes own requests that others have billed, believing this router lost.
+    pub(crate) fn closed_elsewhere(&self, sequences: &[u64]) {
+        for sequence in sequences {
+            self.book().logged_elsewhere(RequestId {
+                incarnation: self.router,
+                sequence: *sequence,
+            });
+        }
+        if !sequences.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Brings the bills kept for a lost router to the log.
     pub(crate) fn adopt_from_shelf(&self, router: Incarnation) {
         let bills = self.shelf().handover(router);
--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -1,11 +1,12 @@
 //! A router's share in the budgets: its wallet, and the keepers that it is for its zone.
 
 use crate::{
-    id::{BudgetId, Incarnation, SliceId, Tokens, Version},
-    keeper::KeeperSettings,
+    id::{BudgetId, GrantId, Incarnation, SliceId, Tokens, Version},
+    keeper::{Keeper, KeeperSettings},
     keeper_task::{KeeperTask, describe_ledger, keeper_incarnation},
     ledger::{LEDGER_SHARDS, shard_of},
     link::now_ms,
+    members::FenceTarget,
     peers::keeper_host,
     refusal::{Code, Refusal},
     reservation::{Reservation, ReserveOutcome, SlicePart},
@@ -16,7 +17,7 @@
 };
 use serde_json::{Value, json};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -31,6 +32,10 @@
 /// How long a request waits for tokens before it is told to come back.
 const WAIT_FOR_TOKENS_MS: u64 = 1500;
 const DRAIN_TRIES: u32 = 40;
+/// How long heartbeats name a closed grant.
+const TELL_CLOSED_MS: u64 = 2000;
+/// How many closed grants one heartbeat names.
+const MAX_HEARTBEAT_GRANTS: usize = 64;
 
 /// The wallet of a router and its keepers by shard.
 #[derive(Debug)]
@@ -40,7 +45,11 @@
     answered: Notify,
     /// Told when the wallet has something to ask for.
     wanting: Notify,
-    keepers: AsyncMutex<HashMap<u32, Arc<KeeperTask>>>,
+    /// Held while a keeper starts, so that each shard has one.
+    starting: AsyncMutex<()>,
+    keepers: Mutex<HashMap<u32, Arc<KeeperTask>>>,
+    /// Grants that closed lately, for sidecars to forget their sums.
+    closed: Mutex<VecDeque<(u64, GrantId)>>,
     keeper_places: Mutex<KeeperPlaces>,
 }
 
@@ -51,6 +60,8 @@
     current: HashMap<u32, Incarnation>,
     /// The addresses of all keepers met; none for one in this process.
     addresses: HashMap<Incarnation, Option<SocketAddr>>,
+    /// The version of the host list by which they were located.
+    hosts_version: u64,
 }
 
 impl KeeperPlaces {
@@ -68,7 +79,9 @@
             wallet: Mutex::new(Wallet::new(incarnation, WalletSettings::default())),
             answered: Notify::new(),
             wanting: Notify::new(),
-            keepers: AsyncMutex::new(HashMap::new()),
+            starting: AsyncMutex::new(()),
+            keepers: Mutex::new(HashMap::new()),
+            closed: Mutex::new(VecDeque::new()),
             keeper_places: Mutex::new(KeeperPlaces::default()),
         }
     }
@@ -85,13 +98,71 @@
             held.insert(budget.to_string(), entry);
         }
         let mut keepers = serde_json::Map::new();
-        if let Ok(tasks) = self.keepers.try_lock() {
-            for (shard, task) in tasks.iter() {
-                let described = task.with(|keeper| describe_ledger(keeper.ledger()));
-                keepers.insert(shard.to_string(), described);
+        for task in self.keeper_tasks() {
+            let described = task.with(|keeper| describe_ledger(keeper.ledger()));
+            keepers.insert(task.shard().to_string(), described);
+        }
+        let located_by = self.places().hosts_version;
+        json!({"held": held, "keeper_of_shards": keepers, "located_by_hosts_version": located_by})
+    }
+
+    /// Returns the keepers of this process.
+    pub(crate) fn keeper_tasks(&self) -> Vec<Arc<KeeperTask>> {
+        self.keepers().values().cloned().collect()
+    }
+
+    /// Returns whether a router holds slices of a keeper of this process.
+    pub(crate) fn has_slices_of(&self, router: Incarnation) -> bool {
+        for task in self.keeper_tasks() {
+            if task.with(|keeper| !keeper.open_slices(router).is_empty()) {
+                return true;
             }
         }
-        json!({"held": held, "keeper_of_shards": keepers})
+        false
+    }
+
+    /// Gives a fenced router nothing more.
+    pub(crate) fn fence_router(&self, router: Incarnation) {
+        for task in self.keeper_tasks() {
+            task.with(|keeper| keeper.fence_router(router));
+        }
+    }
+
+    /// Notes that a sidecar is gone with its sums of what was billed.
+    pub(crate) fn sidecar_gone(&self) {
+        for task in self.keeper_tasks() {
+            task.with(Keeper::sidecar_gone);
+        }
+    }
+
+    /// Stops spending for good.
+    pub(crate) fn revoke(&self) {
+        self.wallet().revoke();
+        self.answered.notify_waiters();
+    }
+
+    /// Returns the grants that closed lately, as many as go into one heartbeat.
+    pub(crate) fn closed_grants(&self) -> Vec<wire::WireId> {
+        let newly_closed = self.wallet().take_closed_grants();
+        let mut closed = self.closed.lock().unwrap_or_else(PoisonError::into_inner);
+        let now_ms = now_ms();
+        for grant in newly_closed {
+            closed.push_back((now_ms, grant));
+        }
+        while let Some((at_ms, _)) = closed.front()
+            && now_ms.saturating_sub(*at_ms) >= TELL_CLOSED_MS
+        {
+            closed.pop_front();
+        }
+        let mut told = Vec::new();
+        for (_, grant) in closed.iter().take(MAX_HEARTBEAT_GRANTS) {
+            told.push((*grant).into());
+        }
+        told
+    }
+
+    fn keepers(&self) -> MutexGuard<'_, HashMap<u32, Arc<KeeperTask>>> {
+        self.keepers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn wallet(&self) -> MutexGuard<'_, Wallet> {
@@ -147,14 +218,23 @@
 
     /// Returns the keeper of a shard in this process, starting it if need be.
     pub(crate) async fn local_keeper(&self, shard: u32) -> crate::Result<Arc<KeeperTask>> {
-        let mut keepers = self.budgets.keepers.lock().await;
-        if let Some(task) = keepers.get(&shard) {
+        if let Some(task) = self.budgets.keepers().get(&shard) {
+            return Ok(Arc::clone(task));
+        }
+        let _starting = self.budgets.starting.lock().await;
+        if let Some(task) = self.budgets.keepers().get(&shard) {
             return Ok(Arc::clone(task));
         }
         let settings = KeeperSettings::default();
         let task = KeeperTask::start(self.incarnation, shard, self.log.clone(), settings).await?;
         log::info!("keeping budget shard {shard} as {}", task.incarnation());
-        keepers.insert(shard, Arc::clone(&task));
+        // Entered before the fences are read, so that none falls between.
+        self.budgets.keepers().insert(shard, Arc::clone(&task));
+        for target in self.members.fenced() {
+            if let FenceTarget::Router(router) = target {
+                task.with(|keeper| keeper.fence_router(Incarnation(router)));
+            }
+        }
         Ok(task)
     }
 
@@ -223,6 +303,7 @@
                 }
             }
         }
+        self.budgets.places().hosts_version = hosts.version;
     }
 
     async fn ask_keeper(&self, outgoing: &OutgoingRequest) -> Option<wire::SliceReply> {
@@ -332,8 +413,7 @@
             break;
         }
     }
-    let keepers = router.budgets.keepers.lock().await;
-    for task in keepers.values() {
+    for task in router.budgets.keeper_tasks() {
         task.close().await;
     }
 }
--- a/crates/mallowpath/src/checkpoint_reader.rs
+++ b/crates/mallowpath/src/checkpoint_reader.rs
@@ -1,17 +1,20 @@
-//! Finding the state of a stream: its beginning or its newest checkpoint, then the records behind.
+//! Finding the state of a ledger: its beginning or its newest checkpoint, then the records behind.
 
 use crate::{
+    checkpoint::LoggedCheckpoint,
     error::{Category, Error, Result},
     follow::Follower,
     id::Offset,
     ledger::Ledger,
-    ledger_records::{CheckpointRecord, LedgerBatch, LedgerEntry},
+    ledger_records::{LedgerBatch, LedgerEntry},
     log_client::LogClient,
 };
 use prost::Message;
 
 /// Offsets that are searched first for a checkpoint, counted back from the end of the stream.
 const FIRST_WINDOW_OFFSETS: u64 = 4096;
+/// How often a search begins anew because records were dropped while it went on.
+const MAX_ATTEMPTS: u32 = 5;
 
 /// Replays a ledger stream to its end and returns the state with a follower behind it.
 ///
@@ -20,12 +23,18 @@
 /// Fails with [`Category::Gone`] when the stream holds neither its beginning nor a checkpoint, else
 /// as the log service does.
 pub(crate) async fn load_ledger(log: &LogClient, stream: &str) -> Result<(Ledger, Follower)> {
-    let (first, next) = log.bounds(stream).await?;
-    let mut ledger = if next.0 <= FIRST_WINDOW_OFFSETS && first == Offset(0) {
-        Ledger::default()
-    } else {
-        find_checkpoint(log, stream, first, next).await?
-    };
+    let mut attempt = 1;
+    loop {
+        match try_load(log, stream).await {
+            // The log service dropped records between two reads.
+            Err(error) if error.bounds().is_some() && attempt < MAX_ATTEMPTS => attempt += 1,
+            loaded => return loaded,
+        }
+    }
+}
+
+async fn try_load(log: &LogClient, stream: &str) -> Result<(Ledger, Follower)> {
+    let mut ledger = find_start(log, stream).await?;
     let mut follower = Follower::new(log.clone(), stream, ledger.next());
     let mut failure = None;
     let replay = follower.catch_up(|record| {
@@ -44,62 +53,40 @@
 }
 
 /// Searches back from the end in windows that double, down to the oldest record kept.
-async fn find_checkpoint(
-    log: &LogClient,
-    stream: &str,
-    first: Offset,
-    next: Offset,
-) -> Result<Ledger> {
+async fn find_start(log: &LogClient, stream: &str) -> Result<Ledger> {
+    let (first, next) = log.bounds(stream).await?;
     let mut window = FIRST_WINDOW_OFFSETS;
     loop {
-        let start = Offset(next.0.saturating_sub(window).max(first.0));
-        if let Some(checkpoint) = newest_checkpoint(log, stream, start).await? {
-            return restore(stream, first, &checkpoint);
-        }
-        if start == first {
-            break;
+        let from = Offset(next.0.saturating_sub(window).max(first.0));
+        let found = checkpoints_from(log, stream, from).await?;
+        match Ledger::start(first, &found) {
+            Ok(ledger) if from == first || ledger.next() > Offset(0) => return Ok(ledger),
+            Err(error) if from == first => return Err(no_start(stream, first).with_source(error)),
+            _ => window *= 2,
         }
-        window *= 2;
     }
-    if first == Offset(0) {
-        return Ok(Ledger::default());
-    }
-    Err(no_start(stream, first))
 }
 
-async fn newest_checkpoint(
+async fn checkpoints_from(
     log: &LogClient,
     stream: &str,
-    start: Offset,
-) -> Result<Option<CheckpointRecord>> {
-    let mut newest = None;
-    let mut follower = Follower::new(log.clone(), stream, start);
+    from: Offset,
+) -> Result<Vec<LoggedCheckpoint>> {
+    let mut found = Vec::new();
+    let mut follower = Follower::new(log.clone(), stream, from);
     let search = follower.catch_up(|record| {
         let batch = LedgerBatch::decode(record.data).unwrap_or_default();
-        for record in batch.records {
-            if let Some(LedgerEntry::Checkpoint(checkpoint)) = record.entry {
-                newest = Some(checkpoint);
+        for entry in batch.records {
+            if let Some(LedgerEntry::Checkpoint(checkpoint)) = entry.entry {
+                found.push(LoggedCheckpoint {
+                    offset: record.offset,
+                    checkpoint,
+                });
             }
         }
     });
     search.await?;
-    Ok(newest)
-}
-
-fn restore(stream: &str, first: Offset, checkpoint: &CheckpointRecord) -> Result<Ledger> {
-    if checkpoint.upto < first.0 {
-        return Err(no_start(stream, first));
-    }
-    match Ledger::restore(checkpoint) {
-        Ok(ledger) => Ok(ledger),
-        Err(error) => {
-            let message = "the newest checkpoint is damaged";
-            Err(
-                Error::new(Category::Protocol, "restore a checkpoint", stream, message)
-                    .with_source(error),
-            )
-        }
-    }
+    Ok(found)
 }
 
 #[cold]
--- a/crates/mallowpath/src/follow.rs
+++ b/crates/mallowpath/src/follow.rs
@@ -19,6 +19,7 @@
     log: LogClient,
     stream: Arc<str>,
     next: Offset,
+    first: Offset,
 }
 
 impl Follower {
@@ -28,9 +29,15 @@
             log,
             stream: Arc::from(stream),
             next,
+            first: Offset(0),
         }
     }
 
+    /// Returns the oldest record that the log service kept at the last read.
+    pub fn first(&self) -> Offset {
+        self.first
+    }
+
     /// Reads the stream to the end that it has now.
     ///
     /// # Errors
@@ -87,6 +94,7 @@
     }
 
     fn hand_on(&mut self, page: LogPage, mut apply: impl FnMut(LogRecord)) {
+        self.first = page.first;
         for record in page.records {
             self.next = Offset(record.offset.0 + 1);
             apply(record);
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -54,6 +54,8 @@
     last_slice: u64,
     outbox: Outbox,
     revoked: bool,
+    /// Whether this keeper ends: it draws nothing more and gives nothing out.
+    closing: bool,
 }
 
 impl Keeper {
@@ -70,6 +72,7 @@
             last_slice: 0,
             outbox: Outbox::new(incarnation),
             revoked: false,
+            closing: false,
         }
     }
 
@@ -188,7 +191,7 @@
         account.used_ms = now_ms;
         let needed = Tokens(request.needed.0.max(1));
         let free = account.free();
-        if free < needed {
+        if free < needed || self.closing {
             if balance.unspent() < request.reservation.max(needed) {
                 return SliceAnswer::Exhausted;
             }
@@ -230,7 +233,7 @@
             return;
         };
         let account = account_mut(&mut self.accounts, &self.settings, budget, now_ms);
-        if account.draw.is_some() || balance.left() == Tokens::ZERO {
+        if self.closing || account.draw.is_some() || balance.left() == Tokens::ZERO {
             return;
         }
         let expected = account.rate.expected(now_ms);
@@ -307,6 +310,37 @@
         slices
     }
 
+    /// Notes that a sidecar is gone, and with it what it billed to the slices that are out now.
+    ///
+    /// Slices cut later can't have been billed by it.
+    pub fn sidecar_gone(&mut self) {
+        for account in self.accounts.values_mut() {
+            for held in account.grants.values_mut() {
+                for open in held.open.values_mut() {
+                    open.unprovable = true;
+                }
+            }
+        }
+    }
+
+    /// Returns the open slices of a router of which no reclaim can prove what was spent.
+    pub fn unprovable_slices(&self, router: Incarnation) -> BTreeSet<SliceId> {
+        let mut slices = BTreeSet::new();
+        for account in self.accounts.values() {
+            for held in account.grants.values() {
+                for (sequence, open) in &held.open {
+                    if open.router == router && open.unprovable {
+                        slices.insert(SliceId {
+                            incarnation: self.incarnation,
+                            sequence: *sequence,
+                        });
+                    }
+                }
+            }
+        }
+        slices
+    }
+
     /// Queues a limit out of the configuration unless the ledger has it.
     pub fn set_limit(&mut self, budget: &BudgetId, version: Version, tokens: Tokens) {
         let known = self.ledger.balance(budget).unwrap_or_default();
@@ -318,6 +352,7 @@
 
     /// Returns all grants from now on as soon as no slice of them is out.
     pub fn close(&mut self) {
+        self.closing = true;
         self.settings.idle_ms = 0;
         self.settings.scarce_idle_ms = 0;
     }
--- a/crates/mallowpath/src/keeper_account.rs
+++ b/crates/mallowpath/src/keeper_account.rs
@@ -28,6 +28,8 @@
 pub(crate) struct OpenSlice {
     pub(crate) router: Incarnation,
     pub(crate) tokens: Tokens,
+    /// Whether a sidecar that may have billed the slice is gone with its sums.
+    pub(crate) unprovable: bool,
 }
 
 #[derive(Debug)]
@@ -83,6 +85,7 @@
                 OpenSlice {
                     router: request.router,
                     tokens: part,
+                    unprovable: false,
                 },
             );
             let id = SliceId {
--- a/crates/mallowpath/src/keeper_task.rs
+++ b/crates/mallowpath/src/keeper_task.rs
@@ -1,13 +1,14 @@
 //! A keeper at work: its state machine, fed from the ledger stream and writing to it.
 
 use crate::{
+    checkpoint_pace::CheckpointPace,
     checkpoint_reader::load_ledger,
     error::Result,
     follow::{Follower, back_off},
-    id::{BudgetId, Incarnation, Tokens, Version},
+    id::{BudgetId, Incarnation, Offset, Tokens, Version},
     keeper::{Keeper, KeeperSettings},
     ledger::Ledger,
-    ledger_records::LedgerBatch,
+    ledger_records::{LedgerBatch, LedgerEntry},
     link::now_ms,
     log_client::{LogClient, LogRecord},
     slice::{SliceAnswer, SliceReply, SliceRequest, SliceReturn},
@@ -28,12 +29,11 @@
 const CLOSE_TICKS: u32 = 40;
 /// How long a request waits at the keeper for tokens that are being drawn.
 const WAIT_FOR_DRAW_MS: u64 = 400;
-/// Offsets between two checkpoints of a ledger stream.
-const CHECKPOINT_OFFSETS: u64 = 2048;
 
 /// A keeper of one shard in this process.
 #[derive(Debug)]
 pub(crate) struct KeeperTask {
+    shard: u32,
     stream: Arc<str>,
     incarnation: Incarnation,
     log: LogClient,
@@ -76,6 +76,7 @@
         let (ledger, follower) = load_ledger(&log, &stream).await?;
         let incarnation = keeper_incarnation(router, shard);
         let task = Arc::new(Self {
+            shard,
             stream: Arc::from(stream),
             incarnation,
             log,
@@ -88,6 +89,11 @@
         Ok(task)
     }
 
+    /// Returns the shard that is kept.
+    pub(crate) fn shard(&self) -> u32 {
+        self.shard
+    }
+
     /// Returns the keeper's incarnation.
     pub(crate) fn incarnation(&self) -> Incarnation {
         self.incarnation
@@ -158,11 +164,17 @@
     }
 
     async fn follow(self: Arc<Self>, mut follower: Follower) {
+        let mut pace = CheckpointPace::default();
         let mut failures = 0;
         loop {
-            let step = follower.step(|record| self.replay(&record)).await;
+            let step = follower
+                .step(|record| self.replay(&record, &mut pace))
+                .await;
             match step {
-                Ok(()) => failures = 0,
+                Ok(()) => {
+                    failures = 0;
+                    self.write_checkpoint(&mut pace, follower.first());
+                }
                 Err(error) => {
                     log::warn!("keeper of {}: {error}", self.stream);
                     failures += 1;
@@ -172,18 +184,32 @@
         }
     }
 
-    fn replay(&self, record: &LogRecord) {
+    fn write_checkpoint(&self, pace: &mut CheckpointPace, first: Offset) {
+        let mut keeper = self.keeper();
+        let next = keeper.ledger().next();
+        if !pace.is_due(first, next, rand::random(), now_ms()) {
+            return;
+        }
+        let checkpoint = keeper.ledger().checkpoint();
+        keeper.push(checkpoint.into());
+        pace.covered(next);
+        drop(keeper);
+        self.work.notify_one();
+    }
+
+    fn replay(&self, record: &LogRecord, pace: &mut CheckpointPace) {
         let batch = LedgerBatch::decode(record.data.clone()).unwrap_or_default();
         let mut keeper = self.keeper();
         if let Err(error) = keeper.replay(record.offset, &batch, now_ms()) {
             log::error!("keeper of {}: {error}", self.stream);
             return;
         }
-        if record.offset.0 % CHECKPOINT_OFFSETS == CHECKPOINT_OFFSETS - 1 {
-            let checkpoint = keeper.ledger().checkpoint();
-            keeper.push(checkpoint.into());
-        }
         drop(keeper);
+        for record in &batch.records {
+            if let Some(LedgerEntry::Checkpoint(checkpoint)) = &record.entry {
+                pace.covered(Offset(checkpoint.upto));
+            }
+        }
         self.replayed.notify_waiters();
         self.work.notify_one();
     }
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod audit;
+mod audit_log;
 mod backend;
 mod backoff;
 mod baseline;
@@ -16,6 +17,7 @@
 mod change;
 mod chat;
 mod checkpoint;
+mod checkpoint_pace;
 mod checkpoint_reader;
 mod claim_verdict;
 mod concurrency;
@@ -55,7 +57,9 @@
 mod load_queue;
 mod log_client;
 mod logging;
+mod lost_routers;
 mod members;
+mod members_task;
 mod order;
 mod outbox;
 mod peers;
@@ -64,6 +68,7 @@
 mod publish;
 mod rate;
 mod reclaim;
+mod reclaim_task;
 mod refusal;
 mod rendezvous;
 mod replay;
@@ -81,6 +86,7 @@
 mod settings;
 mod sidecar;
 mod sidecar_calls;
+mod sidecar_join;
 mod signal;
 mod slice;
 mod slice_wire;
@@ -91,6 +97,7 @@
 
 pub use admin::{Hooks, serve_admin};
 pub use audit::{Audit, BillConflict, BillTotal};
+pub use audit_log::{AuditReport, AuditedBudget, audit_log};
 pub use backend::{Backend, BackendState, LoadReport};
 pub use backoff::Backoff;
 pub use baseline::{least_outstanding, round_robin};
@@ -123,13 +130,14 @@
 pub use ini::{IniDocument, IniSection, IniValue};
 pub use issue::{Issue, IssueReport, Place};
 pub use keeper::{Keeper, KeeperSettings};
+pub use keeper_task::ledger_stream;
 pub use key::{
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
 };
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
-pub use ledger::{DEDUPE_WINDOW_OFFSETS, Ledger, MAX_BUDGET_TOKENS, shard_of};
+pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
     RecordId, TopUpRecord,
--- a/crates/mallowpath/src/members.rs
+++ b/crates/mallowpath/src/members.rs
@@ -263,6 +263,11 @@
         self.live.contains_key(&incarnation)
     }
 
+    /// Returns the latest incarnation that joined on a host, live or gone; zero for none.
+    pub fn latest_on(&self, host: &str) -> Incarnation {
+        self.latest.get(host).copied().unwrap_or_default()
+    }
+
     /// Returns everything that is fenced.
     pub fn fenced(&self) -> impl Iterator<Item = FenceTarget> + '_ {
         self.fences.keys().copied()
@@ -295,7 +300,7 @@
 
     fn join(&mut self, offset: Offset, join: &Join) -> bool {
         let incarnation = Incarnation(join.incarnation);
-        let latest = self.latest.get(&join.name).copied().unwrap_or_default();
+        let latest = self.latest_on(&join.name);
         if incarnation == Incarnation::default() || incarnation == latest {
             return false;
         }
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -17,7 +17,9 @@
     job::Job,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
+    members_task::MembersTask,
     peers::{sidecar_addresses, witness_addresses},
+    reclaim_task::Reclaims,
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
@@ -54,6 +56,8 @@
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
     routes: Routes,
+    pub(crate) members: MembersTask,
+    pub(crate) reclaims: Reclaims,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
     draining: AtomicBool,
@@ -115,6 +119,8 @@
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                members: MembersTask::new(log.clone()),
+                reclaims: Reclaims::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
                 draining: AtomicBool::new(false),
@@ -144,6 +150,8 @@
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(Arc::clone(self).follow_members());
+        tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -241,6 +249,8 @@
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "members": self.members.dump(),
+            "reclaims": self.reclaims.dump(),
         })
     }
 
@@ -261,9 +271,12 @@
             confirmed_age_ms: self.config_age_ms(),
             accepting: !self.is_draining(),
             bills_logged_below: self.bills.logged_below(),
+            closed_grants: self.budgets.closed_grants(),
             ..Heartbeat::default()
         };
-        if !peer.backend.is_empty() {
+        if peer.backend.is_empty() {
+            heartbeat.billed_elsewhere = self.bills.billed_elsewhere(Incarnation(peer.incarnation));
+        } else {
             heartbeat.backend_state = self.backend_state(&peer.backend).into();
         }
         heartbeat
@@ -282,6 +295,7 @@
     }
 
     fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+        self.bills.closed_elsewhere(&heartbeat.billed_elsewhere);
         if link.peer().backend.is_empty() {
             self.configuration.heard(link, heartbeat);
             self.bills.heard(link.peer_incarnation(), heartbeat);
@@ -315,6 +329,7 @@
     async fn watch_peer(&self, link: Arc<Link>) {
         let peer = link.peer_incarnation();
         self.peers_seen.opened(peer);
+        self.reclaims.met(link.peer());
         link.closed().await;
         self.peers_seen.closed(peer);
         tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
@@ -323,6 +338,15 @@
         }
     }
 
+    async fn follow_members(self: Arc<Self>) {
+        self.members.follow(|event| self.members_event(event)).await;
+    }
+
+    /// Returns whether a peer has a connection that it opened.
+    pub(crate) fn is_open(&self, peer: Incarnation) -> bool {
+        self.peers_seen.is_open(peer)
+    }
+
     /// Keeps connections to the sidecars and routers that this router needs.
     async fn follow_hosts(self: Arc<Self>) {
         let mut hosts = self.hosts.clone();
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -13,11 +13,14 @@
     id::{Incarnation, RequestId},
     link::{Endpoint, Link, now_ms},
     load_poll::poll_load,
+    log_client::{LogClient, LogClientSettings},
+    members::Join,
     run::{RunSettings, RunTable},
     running::Running,
     seen::PeersSeen,
     settings::SidecarSettings,
     sidecar_calls::serve_call,
+    sidecar_join::{join, leave},
     wire::{Body, End, Head, Heartbeat, Hello, KeepBills, Load},
 };
 use prost::Message;
@@ -37,6 +40,8 @@
 
 const TICK_MS: u64 = 200;
 const ASK_MS: u64 = 1000;
+/// Time between two attempts to hand the bills of a fenced router over.
+const HAND_OVER_MS: u64 = 1000;
 /// How long a draining sidecar keeps bills for their routers to log.
 const DRAIN_BILLS_MS: u64 = 15_000;
 
@@ -52,6 +57,9 @@
     routers_seen: PeersSeen,
     state: Mutex<State>,
     draining: AtomicBool,
+    /// Whether the own join was seen valid; nothing is served before.
+    joined: AtomicBool,
+    log: LogClient,
     /// Cancelled when the process may end.
     pub(crate) ended: CancellationToken,
 }
@@ -109,7 +117,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when an address can't be bound or the log service can't be read.
+    /// Fails when an address can't be bound. While the log service is down, the process is up and
+    /// takes no work.
     pub async fn start(settings: SidecarSettings) -> Result<(Arc<Self>, SidecarAddresses)> {
         let (listener, address) = bind(settings.host.peer_listen, "listen for routers").await?;
         let incarnation = Incarnation::random();
@@ -130,12 +139,15 @@
             routers_seen: PeersSeen::default(),
             state: Mutex::new(State::default()),
             draining: AtomicBool::new(false),
+            joined: AtomicBool::new(false),
+            log: LogClient::new(settings.host.log_service, LogClientSettings::default()),
             ended: CancellationToken::new(),
             settings,
         });
         let admin = serve_admin(sidecar.settings.host.admin_listen, sidecar.hooks()).await?;
         let endpoint = sidecar.endpoint(address);
         tokio::spawn(Arc::clone(&sidecar).accept(listener, endpoint));
+        tokio::spawn(Arc::clone(&sidecar).join(address));
         tokio::spawn(Arc::clone(&sidecar).tick());
         tokio::spawn(poll_load(Arc::clone(&sidecar)));
         log::info!(
@@ -162,19 +174,47 @@
         tokio::spawn(async move {
             sidecar.running.idle().await;
             sidecar.wait_for_bills().await;
+            leave(&sidecar.log, sidecar.incarnation).await;
             log::info!("drained");
             sidecar.ended.cancel();
         });
     }
 
+    /// Joins the members, refuses what was fenced before, and takes work from then on.
+    async fn join(self: Arc<Self>, address: SocketAddr) {
+        let place = &self.settings.host;
+        let announced = Join {
+            incarnation: self.incarnation.0,
+            name: place.name.to_string(),
+            address: address.to_string(),
+            zone: place.zone.to_string(),
+            service: self.settings.service.to_string(),
+            previous: 0,
+        };
+        let fenced = join(&self.log, announced).await;
+        {
+            let mut runs = self.runs();
+            for target in fenced {
+                runs.table.fence(target);
+            }
+        }
+        self.joined.store(true, Ordering::Release);
+        log::info!("joined, taking work");
+    }
+
     /// Waits until the process has drained.
     pub async fn drained(&self) {
         self.ended.cancelled().await;
     }
 
+    /// Returns the incarnation of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Returns whether the sidecar takes new work.
     pub fn accepting(&self) -> bool {
-        if self.draining.load(Ordering::Relaxed) {
+        if self.draining.load(Ordering::Relaxed) || !self.joined.load(Ordering::Acquire) {
             return false;
         }
         let state = self.state();
@@ -208,6 +248,7 @@
             "backend": self.settings.backend,
             "service": self.settings.service,
             "draining": self.draining.load(Ordering::Relaxed),
+            "joined": self.joined.load(Ordering::Relaxed),
             "running": running,
             "kept_bytes": kept_bytes,
             "runs": runs,
@@ -232,6 +273,13 @@
         }
     }
 
+    /// Hands over the bills of a fenced router, which logs none itself, until they are in the log.
+    pub(crate) async fn hand_over_until_logged(&self, router: Incarnation) {
+        while !self.hand_over_bills(router).await {
+            tokio::time::sleep(Duration::from_millis(HAND_OVER_MS)).await;
+        }
+    }
+
     /// Asks another router to log the bills kept for a lost one; returns whether none is left.
     async fn hand_over_bills(&self, router: Incarnation) -> bool {
         let bills = self.bills().handover(router);
@@ -324,7 +372,7 @@
                 service: self.settings.service.to_string(),
             },
             settings: self.settings.timing.link(),
-            heartbeat: Arc::new(move |_| beating.heartbeat()),
+            heartbeat: Arc::new(move |peer| beating.heartbeat(peer)),
             heard: Arc::new(move |link, heartbeat| hearing.heard(link, &heartbeat)),
             serve: Arc::new(move |body, responder| {
                 tokio::spawn(serve_call(Arc::clone(&serving), body, responder));
@@ -332,8 +380,9 @@
         }
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    fn heartbeat(&self, peer: &Hello) -> Heartbeat {
         let accepting = self.accepting();
+        let billed_elsewhere = self.bills().billed_elsewhere(Incarnation(peer.incarnation));
         let state = self.state();
         let load = state.load.map(|(load, at_ms)| Load {
             age_ms: load.age_ms + now_ms().saturating_sub(at_ms),
@@ -343,16 +392,20 @@
             config_version: state.config_version,
             accepting,
             load,
+            billed_elsewhere,
             ..Heartbeat::default()
         }
     }
 
     /// Learns the newest configuration that any router knows, and how fresh it is.
     fn heard(&self, link: &Link, heartbeat: &Heartbeat) {
-        self.bills().logged_below(BillWatermark {
+        let mut bills = self.bills();
+        bills.logged_below(BillWatermark {
             router: link.peer_incarnation(),
             logged_below: heartbeat.bills_logged_below,
         });
+        bills.forget_grants(&heartbeat.closed());
+        drop(bills);
         let mut state = self.state();
         if heartbeat.config_version < state.config_version {
             return;
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -7,7 +7,7 @@
     job::bill_outcome,
     key::KeyHash,
     link::{Responder, now_ms},
-    members::Fence,
+    members::{Fence, FenceTarget},
     reservation::SlicePart,
     run::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
     sidecar::{Sidecar, Signal},
@@ -169,7 +169,7 @@
     .charged()
 }
 
-fn reserved_parts(parts: &[wire::SlicePart]) -> Vec<SlicePart> {
+pub(crate) fn reserved_parts(parts: &[wire::SlicePart]) -> Vec<SlicePart> {
     let mut reserved = Vec::with_capacity(parts.len());
     for part in parts {
         reserved.push(SlicePart {
@@ -282,23 +282,33 @@
 
 async fn serve_fence(sidecar: &Arc<Sidecar>, fence: &Fence, responder: &Responder) {
     let Some(target) = fence.target else { return };
-    let idle = {
+    let (idle, billed, newly_sealed) = {
         let mut runs = sidecar.runs();
         for id in runs.table.fence(target) {
             if let Some(signal) = runs.signals.get(&id) {
                 signal.stop.cancel();
             }
         }
-        runs.table.fence_done(target)
+        let idle = runs.table.fence_done(target);
+        // The bill of a run is kept before the run ends in the table, so none can follow the seal.
+        match target {
+            FenceTarget::Router(router) if idle => {
+                let router = Incarnation(router);
+                let is_first = !sidecar.bills().is_sealed(router);
+                (
+                    idle,
+                    sidecar.billed_parts(router),
+                    is_first.then_some(router),
+                )
+            }
+            _ => (idle, Vec::new(), None),
+        }
     };
-    answer(
-        responder,
-        Body::Fenced(Fenced {
-            idle,
-            billed: Vec::new(),
-        }),
-    )
-    .await;
+    if let Some(router) = newly_sealed {
+        let sidecar = Arc::clone(sidecar);
+        tokio::spawn(async move { sidecar.hand_over_until_logged(router).await });
+    }
+    answer(responder, Body::Fenced(Fenced { idle, billed })).await;
 }
 
 /// Sends the one answer of a call; a peer that is gone asks again.
@@ -309,6 +319,20 @@
 }
 
 impl Sidecar {
+    /// Takes no more bills of a fenced router and returns what was billed to its slices.
+    fn billed_parts(&self, router: Incarnation) -> Vec<wire::SlicePart> {
+        let confirmation = self.bills().seal(self.incarnation, router);
+        let mut parts = Vec::with_capacity(confirmation.billed.len());
+        for part in confirmation.billed {
+            parts.push(wire::SlicePart {
+                slice: part.slice.into(),
+                tokens: part.tokens.0,
+                grant: part.grant.into(),
+            });
+        }
+        parts
+    }
+
     fn bills_logged(&self, logged: &BillsLogged) {
         let mut bills = self.bills();
         for request in &logged.requests {
--- a/crates/mallowpath/src/slice_wire.rs
+++ b/crates/mallowpath/src/slice_wire.rs
@@ -1,10 +1,11 @@
 //! Slices of grants as messages between processes.
 
 use crate::{
-    id::{Incarnation, Tokens},
+    id::{GrantId, Incarnation, Tokens},
     slice::{Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn},
     wire::{self, SliceAnswerKind, WireSlice},
 };
+use std::collections::BTreeSet;
 
 impl From<Slice> for WireSlice {
     fn from(slice: Slice) -> Self {
@@ -26,6 +27,17 @@
     }
 }
 
+impl wire::Heartbeat {
+    /// Returns the grants that the sender knows to be closed.
+    pub(crate) fn closed(&self) -> BTreeSet<GrantId> {
+        let mut closed = BTreeSet::new();
+        for grant in &self.closed_grants {
+            closed.insert((*grant).into());
+        }
+        closed
+    }
+}
+
 impl From<&SliceRequest> for wire::SliceRequest {
     fn from(request: &SliceRequest) -> Self {
         Self {
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -147,6 +147,12 @@
     /// The log has all bills of the sender's requests below this number, from a router.
     #[prost(uint64, tag = "6")]
     pub bills_logged_below: u64,
+    /// Grants that are closed, so that sums of them can be forgotten, from a router.
+    #[prost(message, repeated, tag = "20")]
+    pub closed_grants: Vec<WireId>,
+    /// Sequence numbers of the receiver's requests that other routers have billed for it.
+    #[prost(uint64, repeated, tag = "21")]
+    pub billed_elsewhere: Vec<u64>,
 }
 
 /// A load report of a backend server.
--- /dev/null
+++ b/crates/mallowpath/tests/regression_closing_keeper.rs
@@ -0,0 +1,43 @@
+//! Regression: a keeper that was closing drew new grants, which stayed out when it ended.
+
+use mallowpath::{
+    BudgetId, Incarnation, Keeper, KeeperSettings, Ledger, SliceAnswer, SliceRequest, Tokens,
+    Version,
+};
+
+fn append(keeper: &mut Keeper, now_ms: u64) {
+    while let Some(batch) = keeper.batch(now_ms) {
+        let next = keeper.ledger().next();
+        keeper
+            .replay(next, &batch, now_ms)
+            .expect("the offset is next");
+    }
+}
+
+#[test]
+fn a_closing_keeper_draws_nothing_and_gives_nothing_out() {
+    let budget: BudgetId = "workspace/budget".parse().expect("the name is valid");
+    let mut keeper = Keeper::new(Incarnation(1), Ledger::default(), KeeperSettings::default());
+    keeper.set_limit(&budget, Version(1), Tokens(1_000_000));
+    append(&mut keeper, 0);
+    let mut request = SliceRequest {
+        router: Incarnation(2),
+        number: 1,
+        budget: budget.clone(),
+        needed: Tokens(10),
+        expected: Tokens(10_000),
+        reservation: Tokens(10),
+    };
+    keeper.request(&request, 0);
+    append(&mut keeper, 0);
+    keeper.close();
+    request.number = 2;
+    let reply = keeper.request(&request, 1);
+    assert!(matches!(reply.answer, SliceAnswer::Short { .. }));
+    for now_ms in 1..100 {
+        keeper.tick(now_ms * 100);
+        append(&mut keeper, now_ms * 100);
+    }
+    let balance = keeper.ledger().balance(&budget).expect("the limit was set");
+    assert_eq!((balance.open, balance.spent), (Tokens::ZERO, Tokens::ZERO));
+}
