--- a/crates/mallowpath/src/admin.rs
+++ b/crates/mallowpath/src/admin.rs
@@ -35,13 +35,8 @@
     pub drain: Arc<dyn Fn() + Send + Sync>,
 }
 
-/// Serves the admin paths on `listen` until the process ends and returns the bound address.
-///
-/// # Errors
-///
-/// Fails with [`Category::Io`] when the address can't be bound.
-pub async fn serve_admin(listen: SocketAddr, hooks: Hooks) -> Result<SocketAddr> {
-    let (listener, address) = bind(listen, "listen for operators").await?;
+/// Serves the admin paths on `listener` until the process ends.
+pub fn serve_admin(listener: TcpListener, hooks: Hooks) {
     // The recorder must be there before the first metric is counted.
     recorder();
     let app = Router::new()
@@ -56,7 +51,6 @@
             log::error!("the admin listener ended: {error}");
         }
     });
-    Ok(address)
 }
 
 /// Binds `listen` and returns the listener with its address.
--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -185,9 +185,9 @@
     }
 
     fn limit_of(&self, budget: &BudgetId) -> Option<(Version, Tokens)> {
-        let fleet = self.fleet();
-        let tokens = fleet.budgets.get(budget)?.tokens;
-        Some((self.config_version(), tokens))
+        // Both of one moment: an old amount under a new version would void the new amount.
+        let (version, fleet) = self.configuration.current();
+        Some((version, fleet.budgets.get(budget)?.tokens))
     }
 
     /// Returns the keeper to ask for a budget, if it is known.
--- a/crates/mallowpath/src/config_task.rs
+++ b/crates/mallowpath/src/config_task.rs
@@ -1,55 +1,32 @@
-//! Keeping the configuration in force up to date, from the log service or from peers.
-//!
-//! Every record is judged by replay in offset order, wherever it comes from, so a process never
-//! goes back to an older version and never skips one.
+//! Keeping the configuration up to date, from the log service or from peers.
 
 use crate::{
     change::ConfigRecord,
+    configuration::Configuration,
     error::{Category, Error, Result},
-    fleet::Fleet,
     follow::{Follower, back_off},
-    id::{Offset, Version},
+    id::Offset,
     link::{Link, now_ms},
-    log_client::{LogClient, LogRecord},
-    replay::{ConfigLoader, ConfigState, ConfigVerdict},
+    log_client::LogClient,
+    peers::config_sources,
+    replay::{ConfigLoader, ConfigState},
     router::Router,
-    wire::{Body, ConfigRecords, FetchConfig, Heartbeat},
+    wire::{Body, FetchConfig},
 };
-use bytes::Bytes;
-use prost::Message;
 use std::{
-    collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
-use tokio::sync::Notify;
 
 /// The stream of configuration changes.
 pub const CONFIG_STREAM: &str = "config";
-/// Records kept for peers that lag.
-const KEPT_RECORDS: usize = 512;
 const FETCH_MS: u64 = 2000;
+/// How long a read of the log waits for a change; bounds the age of a confirmation.
+const READ_WAIT_MS: u64 = 500;
+const LOAD_PAUSE_MS: u64 = 200;
 /// Offsets between two checkpoints of the configuration stream.
 const CHECKPOINT_OFFSETS: u64 = 1024;
 
-/// The configuration in force and what is needed to follow it.
-#[derive(Debug)]
-pub(crate) struct Configuration {
-    state: Mutex<State>,
-    /// Told when a peer knows a newer version.
-    lagging: Notify,
-}
-
-#[derive(Debug)]
-struct State {
-    replay: ConfigState,
-    kept: VecDeque<(Offset, Bytes)>,
-    /// When the version in force was known to be the newest.
-    confirmed_at_ms: u64,
-    /// The peer that told of the newest version.
-    ahead: Option<(Version, Arc<Link>)>,
-}
-
 /// Reads the configuration stream to its end.
 ///
 /// # Errors
@@ -104,140 +81,67 @@
     )
 }
 
-impl Configuration {
-    /// Loads the configuration from the log service.
-    ///
-    /// # Errors
-    ///
-    /// As [`load_config`].
-    pub(crate) async fn load(log: &LogClient) -> Result<Self> {
-        let replay = load_config(log).await?;
-        Ok(Self {
-            state: Mutex::new(State {
-                replay,
-                kept: VecDeque::new(),
-                confirmed_at_ms: now_ms(),
-                ahead: None,
-            }),
-            lagging: Notify::new(),
-        })
-    }
-
-    /// Returns the configuration in force.
-    pub(crate) fn fleet(&self) -> Arc<Fleet> {
-        Arc::clone(self.state().replay.fleet())
-    }
-
-    /// Returns the version in force.
-    pub(crate) fn version(&self) -> Version {
-        self.state().replay.version()
-    }
-
-    /// Returns how long ago the version in force was known to be the newest.
-    pub(crate) fn age_ms(&self) -> u64 {
-        now_ms().saturating_sub(self.state().confirmed_at_ms)
-    }
-
-    /// Takes in what another router says of its version.
-    pub(crate) fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
-        let theirs = Version(heartbeat.config_version);
-        let mut state = self.state();
-        if theirs == state.replay.version() {
-            let at_ms = now_ms().saturating_sub(heartbeat.confirmed_age_ms);
-            state.confirmed_at_ms = state.confirmed_at_ms.max(at_ms);
-        }
-        if theirs > state.replay.version() {
-            state.ahead = Some((theirs, Arc::clone(link)));
-            drop(state);
-            self.lagging.notify_one();
-        }
-    }
-
-    /// Returns kept records from an offset on, for a peer that lags.
-    pub(crate) fn records(&self, from: Offset) -> ConfigRecords {
-        let state = self.state();
-        let mut answer = ConfigRecords {
-            from: from.0,
-            ..ConfigRecords::default()
-        };
-        if state
-            .kept
-            .front()
-            .is_some_and(|(offset, _)| *offset <= from)
-        {
-            for (offset, data) in &state.kept {
-                if *offset >= from {
-                    answer.records.push(data.clone());
-                }
+/// Gets a configuration for a router that starts, from the log service or else from peers.
+///
+/// # Errors
+///
+/// Fails when neither the log service nor a router on the host list has given one in time.
+pub(crate) async fn load(router: &Arc<Router>) -> Result<()> {
+    let limit_ms = router.settings.tuning.load_timeout_ms;
+    let give_up = Instant::now() + Duration::from_millis(limit_ms);
+    loop {
+        let asked_at_ms = now_ms();
+        let error = match load_config(&router.log).await {
+            Ok(state) => {
+                let next = state.next();
+                router.configuration.install(state);
+                router.configuration.log_answered(next, asked_at_ms);
+                return Ok(());
             }
-            return answer;
+            Err(error) => error,
+        };
+        log::warn!("no configuration from the log service: {error}");
+        let (asked, answered) = load_from_peers(router).await;
+        if answered > 0 {
+            return Ok(());
         }
-        answer.checkpoint = true;
-        for part in state.replay.checkpoint() {
-            answer
-                .records
-                .push(ConfigRecord::from(part).encode_to_vec().into());
+        log::warn!("no configuration from peers, {asked} asked");
+        if Instant::now() >= give_up {
+            return Err(no_configuration(asked, limit_ms).with_source(error));
         }
-        answer
+        tokio::time::sleep(Duration::from_millis(LOAD_PAUSE_MS)).await;
     }
+}
 
-    /// Replays one record; a record met before changes nothing.
-    fn apply(&self, record: LogRecord) {
-        let mut state = self.state();
-        if record.offset < state.replay.next() {
-            return;
-        }
-        match state
-            .replay
-            .apply(record.offset, &ConfigRecord::read(&record.data))
-        {
-            Ok(ConfigVerdict::Accepted(version)) => {
-                log::info!(
-                    "configuration {version} by {} is in force",
-                    state.replay.author()
-                );
-            }
-            Ok(verdict) => log::debug!("configuration record {}: {verdict:?}", record.offset),
-            Err(error) => {
-                log::error!("configuration record {}: {error}", record.offset);
-                return;
-            }
-        }
-        state.kept.push_back((record.offset, record.data));
-        if state.kept.len() > KEPT_RECORDS {
-            state.kept.pop_front();
-        }
-    }
+#[cold]
+fn no_configuration(asked: usize, limit_ms: u64) -> Error {
+    let message = format!(
+        "neither the log service nor any of {asked} routers on the host list gave a configuration \
+         within {limit_ms} ms"
+    );
+    Error::new(
+        Category::Refused,
+        "load the configuration",
+        CONFIG_STREAM,
+        message,
+    )
+}
 
-    /// Takes over a checkpoint that a peer made, if it is ahead.
-    fn restore(&self, records: &[Bytes]) {
-        let mut loader = ConfigLoader::new(Offset(u64::MAX));
-        for data in records {
-            let Some(loaded) = loader.push(&ConfigRecord::read(data)) else {
-                continue;
-            };
-            let mut state = self.state();
-            if loaded.next() > state.replay.next() {
-                state.replay = loaded;
-                state.kept.clear();
-            }
-            return;
+/// Takes the newest configuration of several routers; returns how many were asked and answered.
+async fn load_from_peers(router: &Arc<Router>) -> (usize, usize) {
+    let sources = config_sources(&router.settings.host, &router.hosts());
+    let mut answered = 0;
+    for address in &sources {
+        let fetched = match router.dialer.link(*address).await {
+            Ok(link) => fetch(&router.configuration, &link).await,
+            Err(error) => Err(error),
+        };
+        match fetched {
+            Ok(()) => answered += 1,
+            Err(error) => log::warn!("{error}"),
         }
     }
-
-    fn confirm(&self) {
-        self.state().confirmed_at_ms = now_ms();
-    }
-
-    fn take_ahead(&self) -> Option<(Offset, Arc<Link>)> {
-        let mut state = self.state();
-        let (version, link) = state.ahead.take()?;
-        (version > state.replay.version()).then(|| (state.replay.next(), link))
-    }
-
-    fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+    (sources.len(), answered)
 }
 
 /// Follows the configuration for the life of the process.
@@ -246,26 +150,33 @@
     let configuration = &router.configuration;
     let mut failures = 0;
     loop {
-        let next = configuration.state().replay.next();
-        let mut follower = Follower::new(router.log.clone(), CONFIG_STREAM, next);
-        let step = follower.step(|record| {
+        let asked_at_ms = now_ms();
+        let mut follower = Follower::new(router.log.clone(), CONFIG_STREAM, configuration.next());
+        let step = follower.step_within(READ_WAIT_MS, |record| {
             let due = record.offset.0 % CHECKPOINT_OFFSETS == CHECKPOINT_OFFSETS - 1;
             configuration.apply(record);
             if due {
                 tokio::spawn(append_checkpoint(Arc::clone(&router)));
             }
         });
-        match step.await {
-            Ok(()) => {
+        let error = match step.await {
+            Ok(end) => {
                 failures = 0;
-                configuration.confirm();
+                configuration.log_answered(end, asked_at_ms);
+                continue;
             }
-            Err(error) => {
-                log::warn!("{error}");
-                failures += 1;
-                back_off(failures).await;
+            Err(error) => error,
+        };
+        log::warn!("{error}");
+        if error.category() == Category::Gone {
+            // The log dropped records that this process has not read; a checkpoint covers them.
+            match load_config(&router.log).await {
+                Ok(state) => configuration.install(state),
+                Err(error) => log::error!("{error}"),
             }
         }
+        failures += 1;
+        back_off(failures).await;
     }
 }
 
@@ -273,24 +184,33 @@
     let configuration = &router.configuration;
     loop {
         configuration.lagging.notified().await;
-        let Some((next, link)) = configuration.take_ahead() else {
+        let Some(link) = configuration.source(rand::random()) else {
             continue;
         };
-        let fetch = Body::FetchConfig(FetchConfig { from: next.0 });
-        match link.ask(fetch, Duration::from_millis(FETCH_MS)).await {
-            Ok(Body::ConfigRecords(records)) if records.checkpoint => {
-                configuration.restore(&records.records);
-            }
-            Ok(Body::ConfigRecords(records)) => {
-                for (offset, data) in (records.from..).zip(records.records) {
-                    configuration.apply(LogRecord {
-                        offset: Offset(offset),
-                        data,
-                    });
-                }
-            }
-            Ok(other) => log::warn!("{} answered with {other:?}", link.remote()),
-            Err(error) => log::warn!("{error}"),
+        if let Err(error) = fetch(configuration, &link).await {
+            log::warn!("{error}");
+        }
+    }
+}
+
+/// Takes over what a peer holds beyond the own records.
+async fn fetch(configuration: &Configuration, link: &Arc<Link>) -> Result<()> {
+    let from = configuration.next().0;
+    let fetch = Body::FetchConfig(FetchConfig { from });
+    match link.ask(fetch, Duration::from_millis(FETCH_MS)).await? {
+        Body::ConfigRecords(records) => {
+            configuration.take(records);
+            Ok(())
+        }
+        other => {
+            log::debug!("answer to a fetch: {other:?}");
+            let message = "the answer holds no configuration";
+            Err(Error::new(
+                Category::Protocol,
+                "fetch the configuration",
+                link.remote(),
+                message,
+            ))
         }
     }
 }
@@ -299,18 +219,14 @@
 ///
 /// All routers reach this point; a random wait lets one of them do it for all.
 async fn append_checkpoint(router: Arc<Router>) {
-    let before = router.configuration.state().replay.next();
+    let before = router.configuration.next();
     tokio::time::sleep(Duration::from_millis(rand::random_range(0..FETCH_MS))).await;
-    let (next, parts) = {
-        let state = router.configuration.state();
-        (state.replay.next(), state.replay.checkpoint())
-    };
+    let (next, records) = router.configuration.checkpoint();
     if next != before {
         return;
     }
-    for part in parts {
-        let record = ConfigRecord::from(part).encode_to_vec();
-        if let Err(error) = router.log.append(CONFIG_STREAM, record.into()).await {
+    for record in records {
+        if let Err(error) = router.log.append(CONFIG_STREAM, record).await {
             log::warn!("{error}");
             return;
         }
--- a/crates/mallowpath/src/follow.rs
+++ b/crates/mallowpath/src/follow.rs
@@ -54,11 +54,26 @@
     ///
     /// As [`Self::catch_up`].
     pub async fn step(&mut self, apply: impl FnMut(LogRecord)) -> Result<()> {
-        let page = self.page(WAIT_MS).await?;
-        self.hand_on(page, apply);
+        self.step_within(WAIT_MS, apply).await?;
         Ok(())
     }
 
+    /// Like [`Self::step`] with a wait of its own, and returns the end that the stream had.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::catch_up`].
+    pub async fn step_within(
+        &mut self,
+        wait_ms: u64,
+        apply: impl FnMut(LogRecord),
+    ) -> Result<Offset> {
+        let page = self.page(wait_ms).await?;
+        let end = page.next;
+        self.hand_on(page, apply);
+        Ok(end)
+    }
+
     async fn page(&self, wait_ms: u64) -> Result<LogPage> {
         let page = self
             .log
--- a/crates/mallowpath/src/host_client.rs
+++ b/crates/mallowpath/src/host_client.rs
@@ -88,9 +88,18 @@
 #[derive(Debug, Deserialize)]
 struct ListAnswer {
     version: u64,
+    #[serde(default)]
     hosts: Vec<Value>,
 }
 
+impl HostList {
+    /// Returns the state of a host, if the list shows it.
+    pub fn state_of(&self, name: &HostId) -> Option<HostState> {
+        let entry = self.hosts.iter().find(|host| host.name == *name)?;
+        Some(entry.state)
+    }
+}
+
 impl HostClient {
     /// Makes a client of the host list at `address`; it connects on its first call.
     pub fn new(address: SocketAddr, settings: HostClientSettings) -> Self {
@@ -134,6 +143,8 @@
 
     /// Reads the list once its version differs from `since`, or after the longest wait.
     ///
+    /// Where the version is still `since`, the hosts may be left out.
+    ///
     /// # Errors
     ///
     /// Fails when the platform can't be asked. A host that can't be parsed is left out.
--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -8,7 +8,7 @@
     bill::{Bill, BillOutcome},
     chat::Usage,
     engine::end_code,
-    fleet::{Service, ServiceKind, WhenUnconfirmed, Workspace},
+    fleet::{Service, ServiceKind, Workspace},
     id::{BackendId, Incarnation, RequestId, Tokens},
     limbo,
     link::{Call, Link, now_ms},
@@ -193,8 +193,7 @@
             let text = "this router is shutting down, ask another";
             return Err(Refusal::not_run(Code::ShuttingDown, text).after(RETRY_AFTER_MS));
         }
-        let unconfirmed = self.config_age_ms() > self.fleet().rules.unconfirmed_after_ms;
-        if unconfirmed && job.workspace.when_unconfirmed == WhenUnconfirmed::Refuse {
+        if !self.configuration.serves(&job.workspace) {
             let text = "the configuration can't be confirmed as current";
             return Err(Refusal::not_run(Code::Unconfirmed, text).after(RETRY_AFTER_MS));
         }
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -1,5 +1,4 @@
 //! Router fleet for prepaid token budgets.
-//! Router fleet for prepaid token budgets.
 
 mod admin;
 mod audit;
@@ -13,12 +12,14 @@
 mod budgets;
 mod candidates;
 mod change;
+mod change_plan;
 mod chat;
 mod checkpoint;
 mod checkpoint_reader;
 mod claim_verdict;
 mod concurrency;
 mod config_task;
+mod configuration;
 mod dialer;
 mod eject;
 mod engine;
@@ -82,6 +83,7 @@
 mod signal;
 mod slice;
 mod slice_wire;
+mod standing;
 mod verdict;
 mod wallet;
 mod wallet_account;
@@ -99,9 +101,11 @@
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use change_plan::{PlanError, plan_changes};
 pub use chat::{ChatRequest, StreamEvent, Usage};
 pub use claim_verdict::ClaimVerdict;
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
+pub use config_task::{CONFIG_STREAM, load_config};
 pub use eject::{EjectSettings, Outliers};
 pub use error::{Category, Error, Result};
 pub use estimate::Estimate;
@@ -151,7 +155,7 @@
     prefix_hashes,
 };
 pub use propagate::{ConfigHeartbeat, Propagation};
-pub use publish::{Published, publish};
+pub use publish::{Published, publish, publish_on};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
@@ -170,6 +174,7 @@
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
+pub use standing::{Confirmation, NoWork, Standing};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
 pub use wallet::{
     OutgoingRequest, Outstanding, Reservation, ReserveOutcome, SlicePart, Wallet, WalletSettings,
--- a/crates/mallowpath/src/link.rs
+++ b/crates/mallowpath/src/link.rs
@@ -76,6 +76,8 @@
     remote: SocketAddr,
     outgoing: mpsc::Sender<Frame>,
     calls: Mutex<Calls>,
+    /// The peer's time of its newest heartbeat, to be echoed.
+    echo_ms: Mutex<Option<u64>>,
     closed: CancellationToken,
 }
 
@@ -175,6 +177,7 @@
                 opened: HashMap::new(),
                 served: HashMap::new(),
             }),
+            echo_ms: Mutex::new(None),
             closed: CancellationToken::new(),
         });
         let (sink, source) = framed.split();
@@ -296,6 +299,10 @@
         }
     }
 
+    fn echo_ms(&self) -> MutexGuard<'_, Option<u64>> {
+        self.echo_ms.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn calls(&self) -> MutexGuard<'_, Calls> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -467,7 +474,10 @@
             }
         };
         match frame.body {
-            Some(Body::Heartbeat(heartbeat)) => (endpoint.heard)(&link, heartbeat),
+            Some(Body::Heartbeat(heartbeat)) => {
+                *link.echo_ms() = heartbeat.sent_at_ms;
+                (endpoint.heard)(&link, heartbeat);
+            }
             Some(body) => link.dispatch(frame.call, body, &endpoint),
             None => log::debug!("peer {} sent a message of a newer kind", link.remote),
         }
@@ -484,7 +494,13 @@
             _ = ticks.tick() => {}
             () = link.closed.cancelled() => return,
         }
-        let heartbeat = (endpoint.heartbeat)(&link.peer);
+        // The echo is taken before the content, so that the content is never older.
+        let echo_ms = *link.echo_ms();
+        let heartbeat = Heartbeat {
+            sent_at_ms: Some(now_ms()),
+            echo_ms,
+            ..(endpoint.heartbeat)(&link.peer)
+        };
         if !link.send(0, Body::Heartbeat(heartbeat)).await {
             return;
         }
--- a/crates/mallowpath/src/peers.rs
+++ b/crates/mallowpath/src/peers.rs
@@ -11,6 +11,9 @@
 /// Routers in other zones that a router keeps connections to, for bills and configuration.
 const WITNESSES: usize = 2;
 
+/// Routers that a starting router asks for the configuration at most.
+const CONFIG_SOURCES: usize = 8;
+
 /// Returns the sidecars that a router connects to.
 pub(crate) fn sidecar_addresses(place: &HostSettings, hosts: &HostList) -> Vec<SocketAddr> {
     let mut addresses = Vec::new();
@@ -39,6 +42,22 @@
     addresses
 }
 
+/// Returns routers that may give the configuration to a router that starts.
+pub(crate) fn config_sources(place: &HostSettings, hosts: &HostList) -> Vec<SocketAddr> {
+    let mut others = Vec::new();
+    for host in &hosts.hosts {
+        if host.role == HostRole::Router && host.name != place.name {
+            others.push(host);
+        }
+    }
+    let key = rendezvous_key(place.name.as_str());
+    let mut addresses = Vec::new();
+    for index in pick_n(key, &candidates(&others), CONFIG_SOURCES) {
+        addresses.push(others[index].address);
+    }
+    addresses
+}
+
 /// Returns the router of a zone that keeps a budget shard.
 pub(crate) fn keeper_host<'a>(
     zone: &Zone,
--- a/crates/mallowpath/src/publish.rs
+++ b/crates/mallowpath/src/publish.rs
@@ -1,11 +1,12 @@
 //! Publishing a configuration to the log service.
 
 use crate::{
-    change::{Change, ChangeId, ConfigEntry, ConfigRecord, diff},
+    change::{Change, ChangeId, ConfigEntry, ConfigRecord, Delta},
+    change_plan::plan_changes,
     config_task::{CONFIG_STREAM, load_config},
     error::{Category, Error, Result},
     follow::Follower,
-    id::Version,
+    id::{Offset, Version},
     log_client::LogClient,
     logging::wall_clock_ms,
     replay::{ConfigState, ConfigVerdict, ConfigVoid},
@@ -15,8 +16,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a publisher tries to have its change appended.
+/// How long a publisher tries to have a change appended.
 const APPEND_MS: u64 = 10_000;
+/// Section bytes of one change; the log takes records of 1 MiB.
+const MAX_CHANGE_BYTES: usize = 1000 * 1024;
 
 /// What became of a publish.
 #[derive(Debug)]
@@ -33,47 +36,113 @@
         author: String,
         /// Why the change is void.
         reason: ConfigVoid,
+        /// The last version made by earlier parts of a change that was split, if any.
+        partly: Option<Version>,
     },
 }
 
 /// Publishes `sections` as the whole configuration, on behalf of `author`.
 ///
 /// The change builds on the version that is in force when it starts; if another one is accepted
-/// in the meantime, that one wins.
+/// in the meantime, that one wins. A change that is too large for a record of the log is published
+/// in several that are each valid.
 ///
 /// # Errors
 ///
-/// Fails when the log service can't be read or does not take the change in time; with
-/// [`Category::Unknown`] the change may yet come into force.
+/// Fails with [`Category::Config`] when the change can't be split, else when the log service can't
+/// be read or does not take the change in time; with [`Category::Unknown`] the change may yet come
+/// into force.
 pub async fn publish(log: &LogClient, sections: &Sections, author: &str) -> Result<Published> {
     let state = load_config(log).await?;
-    let delta = diff(state.sections(), sections);
-    if delta.is_empty() {
-        return Ok(Published::Unchanged(state.version()));
+    publish_on(log, state, sections, author).await
+}
+
+/// Publishes `sections` on top of `base`, the state that the operator has seen.
+///
+/// # Errors
+///
+/// As [`publish`].
+pub async fn publish_on(
+    log: &LogClient,
+    base: ConfigState,
+    sections: &Sections,
+    author: &str,
+) -> Result<Published> {
+    let mut state = base;
+    let plan = match plan_changes(state.sections(), sections, MAX_CHANGE_BYTES) {
+        Ok(plan) => plan,
+        Err(error) => {
+            return Err(Error::new(
+                Category::Config,
+                "split a configuration",
+                CONFIG_STREAM,
+                error,
+            ));
+        }
+    };
+    let mut partly = None;
+    for delta in &plan {
+        if delta.is_empty() {
+            continue;
+        }
+        match publish_change(log, &mut state, delta, author).await? {
+            Published::Accepted(version) => partly = Some(version),
+            Published::Lost {
+                version,
+                author,
+                reason,
+                ..
+            } => {
+                return Ok(Published::Lost {
+                    version,
+                    author,
+                    reason,
+                    partly,
+                });
+            }
+            Published::Unchanged(_) => {}
+        }
     }
+    Ok(match partly {
+        Some(version) => Published::Accepted(version),
+        None => Published::Unchanged(state.version()),
+    })
+}
+
+async fn publish_change(
+    log: &LogClient,
+    state: &mut ConfigState,
+    delta: &Delta,
+    author: &str,
+) -> Result<Published> {
     let id = ChangeId::random();
-    let change = Change::new(id, state.version(), author, wall_clock_ms(), &delta);
-    let record = ConfigRecord {
-        entry: Some(ConfigEntry::Change(change)),
-    };
+    let change = Change::new(id, state.version(), author, wall_clock_ms(), delta);
+    let record = ConfigRecord::from(change).encode_to_vec();
     let give_up = Instant::now() + Duration::from_millis(APPEND_MS);
     let offset = log
-        .append_until(CONFIG_STREAM, record.encode_to_vec().into(), give_up)
+        .append_until(CONFIG_STREAM, record.into(), give_up)
         .await?;
-    judge(log, state, offset.0).await
+    judge(log, state, id, offset).await
 }
 
-/// Replays up to the change and returns how it was judged.
-async fn judge(log: &LogClient, mut state: ConfigState, offset: u64) -> Result<Published> {
+/// Replays up to the change and returns how its first copy was judged.
+async fn judge(
+    log: &LogClient,
+    state: &mut ConfigState,
+    id: ChangeId,
+    offset: Offset,
+) -> Result<Published> {
     let mut verdict = None;
     let mut failure = None;
     let mut follower = Follower::new(log.clone(), CONFIG_STREAM, state.next());
     let replay = follower.catch_up(|record| {
-        if record.offset.0 > offset || failure.is_some() {
+        if record.offset > offset || failure.is_some() {
             return;
         }
-        match state.apply(record.offset, &ConfigRecord::read(&record.data)) {
-            Ok(judged) => verdict = Some(judged),
+        let entry = ConfigRecord::read(&record.data);
+        match state.apply(record.offset, &entry) {
+            Ok(judged) if verdict.is_none() && is_change(&entry, id) => verdict = Some(judged),
+            Ok(_) => {}
             Err(error) => failure = Some(error),
         }
     });
@@ -93,11 +162,16 @@
             version,
             author: author.to_string(),
             reason,
+            partly: None,
         }),
         _ => Err(not_seen()),
     }
 }
 
+fn is_change(record: &ConfigRecord, id: ChangeId) -> bool {
+    matches!(&record.entry, Some(ConfigEntry::Change(change)) if change.id == id.0)
+}
+
 #[cold]
 fn not_seen() -> Error {
     let message = "the change was appended but can't be read back";
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -6,7 +6,8 @@
     admin::{Hooks, bind, serve_admin},
     bills::{Bills, LOST_ROUTER_MS},
     budgets::Budgets,
-    config_task::Configuration,
+    config_task,
+    configuration::Configuration,
     dialer::Dialer,
     error::Result,
     fleet::{BackendMode, Fleet},
@@ -55,6 +56,8 @@
     routes: Routes,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
+    /// Whether there is a configuration.
+    loaded: AtomicBool,
     draining: AtomicBool,
     /// Cancelled when the process may end.
     ended: CancellationToken,
@@ -97,34 +100,38 @@
         let (callers, callers_address) =
             bind(settings.callers_listen, "listen for callers").await?;
         let (peers, peers_address) = bind(settings.host.peer_listen, "listen for peers").await?;
+        let (admin, admin_address) =
+            bind(settings.host.admin_listen, "listen for operators").await?;
         let incarnation = Incarnation::random();
         let log = LogClient::new(settings.host.log_service, LogClientSettings::default());
         let hosts = watch_hosts(&settings.host);
-        let configuration = Configuration::load(&log).await?;
         let router = Arc::new_cyclic(|weak: &Weak<Self>| {
-            let endpoint = endpoint(weak, &settings, incarnation, peers_address);
+            let endpoint = endpoint(weak, &settings, incarnation, [peers_address, admin_address]);
             Self {
                 incarnation,
                 log: log.clone(),
                 dialer: Dialer::new(endpoint),
                 running: Running::default(),
-                configuration,
+                configuration: Configuration::default(),
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 peers_seen: PeersSeen::default(),
                 hosts,
+                loaded: AtomicBool::new(false),
                 draining: AtomicBool::new(false),
                 ended: CancellationToken::new(),
                 settings,
             }
         });
-        let admin = serve_admin(router.settings.host.admin_listen, router.hooks()).await?;
+        serve_admin(admin, router.hooks());
+        config_task::load(&router).await?;
+        router.loaded.store(true, Ordering::Relaxed);
         router.spawn_tasks(callers, peers);
         let addresses = RouterAddresses {
             callers: callers_address,
             peers: peers_address,
-            admin,
+            admin: admin_address,
         };
         log::info!("router {incarnation} serves callers at {callers_address}");
         Ok((router, addresses))
@@ -139,7 +146,7 @@
         });
         tokio::spawn(Arc::clone(self).accept(peers));
         tokio::spawn(Arc::clone(self).follow_hosts());
-        tokio::spawn(crate::config_task::follow(Arc::clone(self)));
+        tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
     }
@@ -185,9 +192,14 @@
         self.configuration.version()
     }
 
-    /// Returns how long ago the configuration in force was known to be the newest.
-    pub(crate) fn config_age_ms(&self) -> u64 {
-        self.configuration.age_ms()
+    /// Returns how long ago the configuration in force was known to be the newest, if it ever was.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        self.configuration.confirmed_age_ms()
+    }
+
+    /// Returns whether the router takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed) && !self.is_draining()
     }
 
     /// Returns the number of backend servers that are connected and take work.
@@ -230,9 +242,11 @@
             "zone": self.settings.host.zone,
             "region": self.settings.host.region,
             "incarnation": self.incarnation,
+            "ready": self.is_ready(),
             "draining": self.is_draining(),
             "requests_in_progress": self.running.count(),
             "config_version": self.config_version(),
+            "config_author": self.configuration.author(),
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
             "routes": self.routes.dump(),
@@ -246,7 +260,7 @@
         let dump = Arc::clone(self);
         let drain = Arc::clone(self);
         Hooks {
-            ready: Arc::new(move || !ready.is_draining()),
+            ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dump.dump()),
             drain: Arc::new(move || drain.drain()),
         }
@@ -254,11 +268,9 @@
 
     fn heartbeat(&self, peer: &Hello) -> Heartbeat {
         let mut heartbeat = Heartbeat {
-            config_version: self.config_version().0,
-            confirmed_age_ms: self.config_age_ms(),
-            accepting: !self.is_draining(),
+            accepting: self.is_ready(),
             bills_logged_below: self.bills.logged_below(),
-            ..Heartbeat::default()
+            ..self.configuration.heartbeat()
         };
         if !peer.backend.is_empty() {
             heartbeat.backend_state = self.backend_state(&peer.backend).into();
@@ -266,7 +278,7 @@
         heartbeat
     }
 
-    /// Returns the state that configuration and host list give a backend server.
+    /// Returns the state that the configuration gives a backend server.
     fn backend_state(&self, backend: &str) -> &'static str {
         let Ok(id) = backend.parse::<BackendId>() else {
             return "excluded";
@@ -283,7 +295,8 @@
             self.configuration.heard(link, heartbeat);
             self.bills.heard(link.peer_incarnation(), heartbeat);
         } else {
-            self.routes.heard(link, heartbeat);
+            let leaving = self.backend_state(&link.peer().backend) != "active";
+            self.routes.heard(link, heartbeat, leaving);
         }
     }
 
@@ -313,6 +326,7 @@
         let peer = link.peer_incarnation();
         self.peers_seen.opened(peer);
         link.closed().await;
+        self.configuration.peer_lost(&link);
         self.peers_seen.closed(peer);
         tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
         if !self.peers_seen.is_open(peer) {
@@ -329,11 +343,12 @@
         };
         let down = {
             let router = Arc::clone(&self);
-            Arc::new(move |link: &Arc<Link>| router.routes.down(link))
+            Arc::new(move |link: &Arc<Link>| router.link_down(link))
                 as Arc<dyn Fn(&_) + Send + Sync>
         };
         loop {
             let list = Arc::clone(&hosts.borrow_and_update());
+            self.routes.hosts_changed(&list);
             let mut wanted = sidecar_addresses(&self.settings.host, &list);
             wanted.extend(witness_addresses(&self.settings.host, &list));
             self.dialer.keep(&wanted, &up, &down);
@@ -348,6 +363,14 @@
             self.routes.up(link);
         }
     }
+
+    fn link_down(&self, link: &Arc<Link>) {
+        if link.peer().backend.is_empty() {
+            self.configuration.peer_lost(link);
+        } else {
+            self.routes.down(link);
+        }
+    }
 }
 
 fn watch_hosts(place: &HostSettings) -> watch::Receiver<Arc<HostList>> {
@@ -361,7 +384,7 @@
     weak: &Weak<Router>,
     settings: &RouterSettings,
     incarnation: Incarnation,
-    address: SocketAddr,
+    [address, admin]: [SocketAddr; 2],
 ) -> Endpoint {
     let beating = Weak::clone(weak);
     let hearing = Weak::clone(weak);
@@ -374,6 +397,7 @@
             address: address.to_string(),
             backend: String::new(),
             service: String::new(),
+            admin: admin.to_string(),
         },
         settings: settings.timing.link(),
         heartbeat: Arc::new(move |peer| match beating.upgrade() {
--- a/crates/mallowpath/src/routes.rs
+++ b/crates/mallowpath/src/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::{Backend, BackendState, LoadReport},
+    host_client::{HostList, HostState},
     id::{BackendId, HostId, ServiceId, Zone},
     job::{Attempt, Job},
     link::{Link, now_ms},
@@ -12,7 +13,7 @@
 use rand::random;
 use serde_json::{Value, json};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -22,6 +23,8 @@
     zone: Zone,
     settings: RouteSettings,
     services: Mutex<HashMap<ServiceId, Service>>,
+    /// Hosts that the host list shows as leaving.
+    leaving_hosts: Mutex<HashSet<HostId>>,
 }
 
 #[derive(Debug)]
@@ -37,6 +40,7 @@
             zone,
             settings,
             services: Mutex::new(HashMap::new()),
+            leaving_hosts: Mutex::new(HashSet::new()),
         }
     }
 
@@ -88,11 +92,35 @@
         }
     }
 
-    /// Takes in a heartbeat of a sidecar.
-    pub(crate) fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+    /// Stops using the backend servers on hosts that leave.
+    pub(crate) fn hosts_changed(&self, list: &HostList) {
+        let mut leaving = HashSet::new();
+        for host in &list.hosts {
+            if host.state == HostState::Leaving {
+                leaving.insert(host.name.clone());
+            }
+        }
+        // Set first, so that no heartbeat brings a backend server back in between.
+        self.leaving_hosts().clone_from(&leaving);
+        for service in self.services().values_mut() {
+            for backend in service.table.backends_mut() {
+                if leaving.contains(&backend.sidecar) {
+                    backend.state = BackendState::Leaving;
+                }
+            }
+        }
+    }
+
+    /// Takes in a heartbeat of a sidecar whose backend server may leave by the configuration.
+    pub(crate) fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat, leaving: bool) {
         let Some((service_id, backend_id)) = names(link) else {
             return;
         };
+        let host_leaves = link
+            .peer()
+            .host
+            .parse()
+            .is_ok_and(|host: HostId| self.leaving_hosts().contains(&host));
         let mut services = self.services();
         let Some(service) = services.get_mut(&service_id) else {
             return;
@@ -104,7 +132,7 @@
             return;
         };
         let ejected = matches!(backend.state, BackendState::Ejected { .. });
-        if !heartbeat.accepting {
+        if leaving || host_leaves || !heartbeat.accepting {
             backend.state = BackendState::Leaving;
         } else if !ejected {
             backend.state = BackendState::Live;
@@ -213,6 +241,12 @@
         }
     }
 
+    fn leaving_hosts(&self) -> MutexGuard<'_, HashSet<HostId>> {
+        self.leaving_hosts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn services(&self) -> MutexGuard<'_, HashMap<ServiceId, Service>> {
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -9,6 +9,7 @@
     issue::{Issue, IssueReport, nearest},
     link::LinkSettings,
     section::{Reader, Section, sections_of},
+    standing::Confirmation,
 };
 use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc};
 
@@ -17,6 +18,10 @@
 const MIN_MS: u64 = 1;
 const MAX_MS: u64 = 3_600_000;
 const MAX_COUNT: u64 = 100_000;
+/// Leaves half a second of the five within which a leaving backend server stops taking work.
+const MAX_UNCONFIRMED_MS: u64 = 4_500;
+/// Age that a router's confirmation by the log reaches between two reads.
+const READ_AGE_MS: u64 = 1_000;
 
 /// What every process of the fleet is told about its place.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -82,6 +87,8 @@
     pub max_waiting: u64,
     /// How long a draining router takes connections while the balancer learns of it.
     pub drain_notice_ms: u64,
+    /// How long a starting router looks for a configuration.
+    pub load_timeout_ms: u64,
 }
 
 /// Settings of a sidecar.
@@ -112,6 +119,8 @@
     pub keep_answer_ms: u64,
     /// Age of the last confirmed state after which no new work is taken.
     pub unconfirmed_after_ms: u64,
+    /// What has to be confirmed within that time.
+    pub confirmation: Confirmation,
     /// Interval between reads of the backend server's load.
     pub load_poll_ms: u64,
 }
@@ -235,6 +244,7 @@
         sidecars_per_service: count(reader, "sidecars_per_service", default.sidecars_per_service),
         max_waiting: count(reader, "max_waiting", default.max_waiting),
         drain_notice_ms: millis(reader, "drain_notice_ms", default.drain_notice_ms),
+        load_timeout_ms: millis(reader, "load_timeout_ms", default.load_timeout_ms),
     };
     let host = host?;
     let callers_listen = callers_listen?;
@@ -266,8 +276,12 @@
         backend_timeout_ms: millis(reader, "backend_timeout_ms", default.backend_timeout_ms),
         keep_answer_ms: millis(reader, "keep_answer_ms", default.keep_answer_ms),
         unconfirmed_after_ms: millis(reader, "unconfirmed_after_ms", default.unconfirmed_after_ms),
+        confirmation: reader
+            .optional("confirmation", "any or all")
+            .unwrap_or(default.confirmation),
         load_poll_ms: millis(reader, "load_poll_ms", default.load_poll_ms),
     };
+    check_unconfirmed(reader, &timing, &tuning);
     let host = host?;
     check_listen(
         reader,
@@ -336,6 +350,26 @@
     reader.reject("heartbeat_ms", &expected);
 }
 
+/// Checks that a leaving backend server stops in time, and a confirmed one does not.
+///
+/// A router's confirmation is up to [`READ_AGE_MS`] old when the router speaks, and its heartbeat
+/// echoes one sent up to one interval before and counts until the next one comes.
+fn check_unconfirmed(reader: &mut Reader<'_>, timing: &PeerTiming, tuning: &SidecarTuning) {
+    let least_ms = READ_AGE_MS + 2 * timing.heartbeat_ms;
+    if (least_ms..=MAX_UNCONFIRMED_MS).contains(&tuning.unconfirmed_after_ms) {
+        return;
+    }
+    if !reader.has("unconfirmed_after_ms") {
+        let most_ms = (tuning.unconfirmed_after_ms - READ_AGE_MS) / 2;
+        return reader.reject("heartbeat_ms", &format!("at most {most_ms} in a sidecar"));
+    }
+    let expected = format!(
+        "{least_ms} to {MAX_UNCONFIRMED_MS}: at least {READ_AGE_MS} and twice heartbeat_ms, and \
+         within the 5000 in which a leaving backend server stops taking work"
+    );
+    reader.reject("unconfirmed_after_ms", &expected);
+}
+
 /// Checks that no two listeners share an address; port 0 is a free port for each.
 fn check_listen(reader: &mut Reader<'_>, listeners: &[(&str, SocketAddr)]) {
     for (index, (key, address)) in listeners.iter().enumerate() {
@@ -378,6 +412,7 @@
             sidecars_per_service: 16,
             max_waiting: 10_000,
             drain_notice_ms: 1_000,
+            load_timeout_ms: 20_000,
         }
     }
 }
@@ -388,7 +423,8 @@
             max_running: 64,
             backend_timeout_ms: 60_000,
             keep_answer_ms: 600_000,
-            unconfirmed_after_ms: 30_000,
+            unconfirmed_after_ms: 4_000,
+            confirmation: Confirmation::Any,
             load_poll_ms: 500,
         }
     }
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -10,7 +10,8 @@
     bills::LOST_ROUTER_MS,
     engine::Engine,
     error::Result,
-    id::{Incarnation, RequestId},
+    host_client::{HostClient, HostClientSettings},
+    id::{Incarnation, RequestId, Version},
     link::{Endpoint, Link, now_ms},
     load_poll::poll_load,
     run::{RunSettings, RunTable},
@@ -18,6 +19,7 @@
     seen::PeersSeen,
     settings::SidecarSettings,
     sidecar_calls::serve_call,
+    standing::{NoWork, Standing},
     wire::{Body, End, Head, Heartbeat, Hello, KeepBills, Load},
 };
 use prost::Message;
@@ -37,6 +39,8 @@
 
 const TICK_MS: u64 = 200;
 const ASK_MS: u64 = 1000;
+/// How long a read of the host list waits for a change; bounds the age of a confirmation.
+const HOSTS_WAIT_MS: u64 = 1000;
 /// How long a draining sidecar keeps bills for their routers to log.
 const DRAIN_BILLS_MS: u64 = 15_000;
 
@@ -80,11 +84,7 @@
 #[derive(Debug, Default)]
 struct State {
     load: Option<(Load, u64)>,
-    config_version: u64,
-    /// When the newest configuration was known to be the newest, on this process's clock.
-    confirmed_at_ms: Option<u64>,
-    /// The state that the configuration gives the backend server.
-    told: Arc<str>,
+    standing: Standing,
 }
 
 /// The addresses at which a sidecar listens.
@@ -112,6 +112,8 @@
     /// Fails when an address can't be bound or the log service can't be read.
     pub async fn start(settings: SidecarSettings) -> Result<(Arc<Self>, SidecarAddresses)> {
         let (listener, address) = bind(settings.host.peer_listen, "listen for routers").await?;
+        let (admin, admin_address) =
+            bind(settings.host.admin_listen, "listen for operators").await?;
         let incarnation = Incarnation::random();
         let run_settings = RunSettings {
             max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
@@ -133,8 +135,9 @@
             ended: CancellationToken::new(),
             settings,
         });
-        let admin = serve_admin(sidecar.settings.host.admin_listen, sidecar.hooks()).await?;
-        let endpoint = sidecar.endpoint(address);
+        serve_admin(admin, sidecar.hooks());
+        let endpoint = sidecar.endpoint(address, admin_address);
+        tokio::spawn(Arc::clone(&sidecar).follow_hosts());
         tokio::spawn(Arc::clone(&sidecar).accept(listener, endpoint));
         tokio::spawn(Arc::clone(&sidecar).tick());
         tokio::spawn(poll_load(Arc::clone(&sidecar)));
@@ -146,7 +149,7 @@
             sidecar,
             SidecarAddresses {
                 peers: address,
-                admin,
+                admin: admin_address,
             },
         ))
     }
@@ -177,15 +180,22 @@
         if self.draining.load(Ordering::Relaxed) {
             return false;
         }
-        let state = self.state();
-        if &*state.told == "leaving" || &*state.told == "excluded" {
-            return false;
-        }
-        let limit_ms = self.settings.tuning.unconfirmed_after_ms;
-        match state.confirmed_at_ms {
-            Some(at_ms) => now_ms().saturating_sub(at_ms) <= limit_ms,
-            None => true,
-        }
+        self.no_work().is_none()
+    }
+
+    /// Returns why the state of the backend server allows no new work.
+    fn no_work(&self) -> Option<NoWork> {
+        let tuning = &self.settings.tuning;
+        self.state()
+            .standing
+            .refusal(tuning.confirmation, tuning.unconfirmed_after_ms, now_ms())
+    }
+
+    /// Returns whether the process is up: one that was never told of its state waits for it ready,
+    /// as the host list may show ready hosts only.
+    fn is_ready(&self) -> bool {
+        let waits = self.state().standing.is_new() && !self.draining.load(Ordering::Relaxed);
+        waits || self.accepting()
     }
 
     /// Describes the whole state.
@@ -199,7 +209,10 @@
             (held.table.running(), held.table.kept_bytes())
         };
         let bills = self.bills().count();
-        let state = self.state();
+        let ready = self.is_ready();
+        let no_work = self.no_work().map(|reason| reason.to_string());
+        let standing = self.state().standing.clone();
+        let now_ms = now_ms();
         json!({
             "role": "sidecar",
             "host": self.settings.host.name,
@@ -207,14 +220,18 @@
             "incarnation": self.incarnation,
             "backend": self.settings.backend,
             "service": self.settings.service,
+            "ready": ready,
             "draining": self.draining.load(Ordering::Relaxed),
             "running": running,
             "kept_bytes": kept_bytes,
             "runs": runs,
             "bills_kept": bills,
-            "config_version": state.config_version,
-            "backend_state": state.told,
-            "confirmed_age_ms": state.confirmed_at_ms.map(|at_ms| now_ms().saturating_sub(at_ms)),
+            "config_version": standing.version(),
+            "config_age_ms": standing.config_age_ms(now_ms),
+            "backend_state": standing.told(),
+            "host_state": standing.host().map(|state| state.to_string()),
+            "hosts_age_ms": standing.hosts_age_ms(now_ms),
+            "no_work": no_work,
         })
     }
 
@@ -304,13 +321,13 @@
         let dump = Arc::clone(self);
         let drain = Arc::clone(self);
         Hooks {
-            ready: Arc::new(move || ready.accepting()),
+            ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dump.dump()),
             drain: Arc::new(move || drain.drain()),
         }
     }
 
-    fn endpoint(self: &Arc<Self>, address: SocketAddr) -> Endpoint {
+    fn endpoint(self: &Arc<Self>, address: SocketAddr, admin: SocketAddr) -> Endpoint {
         let beating = Arc::clone(self);
         let hearing = Arc::clone(self);
         let serving = Arc::clone(self);
@@ -322,6 +339,7 @@
                 address: address.to_string(),
                 backend: self.settings.backend.to_string(),
                 service: self.settings.service.to_string(),
+                admin: admin.to_string(),
             },
             settings: self.settings.timing.link(),
             heartbeat: Arc::new(move |_| beating.heartbeat()),
@@ -340,7 +358,7 @@
             ..load
         });
         Heartbeat {
-            config_version: state.config_version,
+            config_version: state.standing.version().0,
             accepting,
             load,
             ..Heartbeat::default()
@@ -353,24 +371,56 @@
             router: link.peer_incarnation(),
             logged_below: heartbeat.bills_logged_below,
         });
-        let mut state = self.state();
-        if heartbeat.config_version < state.config_version {
+        if link.peer().host.is_empty() {
+            // An operator's command, which has no configuration.
             return;
         }
-        if heartbeat.config_version > state.config_version
-            || &*state.told != heartbeat.backend_state.as_str()
-        {
+        let version = Version(heartbeat.config_version);
+        let (answer, asked_at_ms) = heartbeat.configuration();
+        let changed = self.state().standing.router_said(
+            version,
+            &heartbeat.backend_state,
+            answer,
+            asked_at_ms,
+        );
+        if changed {
             log::info!(
-                "{} reports configuration {}, backend server {:?}",
+                "{} reports configuration {version}, backend server {:?}",
                 link.remote(),
-                heartbeat.config_version,
                 heartbeat.backend_state
             );
-            state.config_version = heartbeat.config_version;
-            state.told = Arc::from(heartbeat.backend_state.as_str());
         }
-        let confirmed_at_ms = now_ms().saturating_sub(heartbeat.confirmed_age_ms);
-        state.confirmed_at_ms = state.confirmed_at_ms.max(Some(confirmed_at_ms));
+    }
+
+    /// Follows what the host list shows of the own host.
+    async fn follow_hosts(self: Arc<Self>) {
+        let place = &self.settings.host;
+        let client = HostClient::new(
+            place.host_list,
+            HostClientSettings {
+                wait_ms: HOSTS_WAIT_MS,
+                ..HostClientSettings::default()
+            },
+        );
+        let mut since = None;
+        let mut shown = None;
+        loop {
+            let asked_at_ms = now_ms();
+            match client.read(since).await {
+                Ok(list) => {
+                    if since != Some(list.version) {
+                        since = Some(list.version);
+                        shown = list.state_of(&place.name);
+                    }
+                    if self.state().standing.hosts_said(shown, asked_at_ms) {
+                        log::info!("the host list shows this host as {shown:?}");
+                    }
+                }
+                Err(error) => log::warn!("{error}"),
+            }
+            // Bounds the rate also where the platform does not wait or does not answer.
+            tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
+        }
     }
 
     async fn accept(self: Arc<Self>, listener: TcpListener, endpoint: Endpoint) {
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -7,6 +7,7 @@
 use crate::{
     id::{GrantId, Incarnation, RequestId, SliceId},
     members::{Fence, KeyEpoch},
+    propagate::ConfigHeartbeat,
 };
 
 /// One message on a connection.
@@ -124,6 +125,9 @@
     /// The model or plain service of that server; empty for a router.
     #[prost(string, tag = "6")]
     pub service: String,
+    /// `ip:port` at which the sender serves operators.
+    #[prost(string, tag = "20")]
+    pub admin: String,
 }
 
 /// What both sides tell each other at each heartbeat.
@@ -132,9 +136,9 @@
     /// The newest configuration version that the sender has in force.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
-    /// How long ago that version was known to be the newest, in milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub confirmed_age_ms: u64,
+    /// How long ago that version was known to be the newest, in milliseconds; absent if it never was.
+    #[prost(uint64, optional, tag = "2")]
+    pub confirmed_age_ms: Option<u64>,
     /// Whether the sender takes new work.
     #[prost(bool, tag = "3")]
     pub accepting: bool,
@@ -147,6 +151,15 @@
     /// The log has all bills of the sender's requests below this number, from a router.
     #[prost(uint64, tag = "6")]
     pub bills_logged_below: u64,
+    /// The offset after the last configuration record that the sender holds, from a router.
+    #[prost(uint64, tag = "20")]
+    pub config_next: u64,
+    /// When the heartbeat was sent, by the sender's clock; set by the connection.
+    #[prost(uint64, optional, tag = "21")]
+    pub sent_at_ms: Option<u64>,
+    /// `sent_at_ms` of the newest heartbeat that the sender has received; set by the connection.
+    #[prost(uint64, optional, tag = "22")]
+    pub echo_ms: Option<u64>,
 }
 
 /// A load report of a backend server.
@@ -537,6 +550,20 @@
     pub code: String,
 }
 
+impl Heartbeat {
+    /// Returns what a router says of its configuration, and when the receiver asked for it.
+    ///
+    /// The sender had the receiver's heartbeat of that time when it made this one, so what it says
+    /// held at that time or later, however long the answer was on its way.
+    pub(crate) fn configuration(&self) -> (ConfigHeartbeat, u64) {
+        let answer = ConfigHeartbeat {
+            next: self.config_next,
+            confirmed_age_ms: self.echo_ms.and(self.confirmed_age_ms),
+        };
+        (answer, self.echo_ms.unwrap_or_default())
+    }
+}
+
 impl From<RequestId> for WireId {
     fn from(id: RequestId) -> Self {
         Self {
--- a/crates/mallowpath/tests/settings.rs
+++ b/crates/mallowpath/tests/settings.rs
@@ -47,7 +47,7 @@
         p.ini:5: [router] peer_listen = "127.0.0.1:7001": expected an address other than that of callers_listen
         p.ini:10: [router] heartbeat_ms = "5000": expected at most half of peer_timeout_ms, which is 3000
         p.ini:11: [router] slice_ms = "0": expected a whole number from 1 to 3600000, such as 1_000, 5k or 2M
-        p.ini:12: [router] hedaer_timeout_ms = "5": expected one of the keys name, zone, region, peer_listen, admin_listen, log_service, host_list, callers_listen, heartbeat_ms, peer_timeout_ms, connect_timeout_ms, platform_timeout_ms, platform_wait_ms, header_timeout_ms, body_timeout_ms, bill_batch_ms, slice_ms, sidecars_per_service, max_waiting, drain_notice_ms; did you mean "header_timeout_ms"?
+        p.ini:12: [router] hedaer_timeout_ms = "5": expected one of the keys name, zone, region, peer_listen, admin_listen, log_service, host_list, callers_listen, heartbeat_ms, peer_timeout_ms, connect_timeout_ms, platform_timeout_ms, platform_wait_ms, header_timeout_ms, body_timeout_ms, bill_batch_ms, slice_ms, sidecars_per_service, max_waiting, drain_notice_ms, load_timeout_ms; did you mean "header_timeout_ms"?
         p.ini:13: [sidecar] "sidecar": expected the section [router]"#]].assert_eq(&report.to_string());
 }
 
@@ -93,3 +93,21 @@
         );
     }
 }
+
+#[test]
+fn a_sidecar_stops_a_leaving_backend_within_five_seconds() {
+    let text = "backend = e1\nbackend_address = 127.0.0.1:8000\nservice = notices\n";
+    let check = |more: &str| {
+        let document = document("sidecar", &format!("{text}{more}"));
+        match SidecarSettings::from_document(&document) {
+            Ok(settings) => format!("{} ms", settings.tuning.unconfirmed_after_ms),
+            Err(report) => report.to_string(),
+        }
+    };
+    expect!["4000 ms"].assert_eq(&check(""));
+    expect!["4500 ms"].assert_eq(&check("unconfirmed_after_ms = 4500"));
+    expect![[r#"p.ini:12: [sidecar] unconfirmed_after_ms = "4501": expected 3000 to 4500: at least 1000 and twice heartbeat_ms, and within the 5000 in which a leaving backend server stops taking work"#]].assert_eq(&check("unconfirmed_after_ms = 4501"));
+    expect![[r#"p.ini:12: [sidecar] unconfirmed_after_ms = "2999": expected 3000 to 4500: at least 1000 and twice heartbeat_ms, and within the 5000 in which a leaving backend server stops taking work"#]].assert_eq(&check("unconfirmed_after_ms = 2999"));
+    expect![[r#"p.ini:12: [sidecar] heartbeat_ms = "1501": expected at most 1500 in a sidecar"#]]
+        .assert_eq(&check("heartbeat_ms = 1501\npeer_timeout_ms = 5000"));
+}
--- /dev/null
+++ b/crates/mallowpath/tests/standing.rs
@@ -0,0 +1,116 @@
+//! Whether a sidecar may take new work, under routers that lag, late answers and lost ones.
+
+use mallowpath::{ConfigHeartbeat, Confirmation, HostState, NoWork, Standing, Version};
+use proptest::{
+    collection::vec,
+    prelude::{ProptestConfig, prop_assert, proptest},
+    test_runner::RngSeed,
+};
+
+const LIMIT_MS: u64 = 400;
+const ROUTERS: usize = 3;
+
+/// What a router has read of the log, and when it asked.
+#[derive(Clone, Copy, Default)]
+struct RouterView {
+    version: u64,
+    confirmed_at_ms: Option<u64>,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    /// Steps: 0 publishes, 1 lets a router read the log, 2 asks a router, 3 delivers an answer in
+    /// any order. From version 5 on the backend server leaves.
+    #[test]
+    fn no_work_once_a_change_is_older_than_the_limit(
+        steps in vec((0..4_u8, 0..ROUTERS, 0..100_u64), 0..150),
+    ) {
+        const LEAVES_FROM: usize = 5;
+        let mut published_at_ms = Vec::new();
+        let mut routers = [RouterView::default(); ROUTERS];
+        let mut pending = Vec::new();
+        let mut standing = Standing::default();
+        let mut now_ms = 1_000;
+        for (step, who, draw) in steps {
+            now_ms += draw;
+            match step {
+                0 => published_at_ms.push(now_ms),
+                1 => routers[who] = RouterView {
+                    version: u64::try_from(published_at_ms.len()).expect("small"),
+                    confirmed_at_ms: Some(now_ms),
+                },
+                2 => pending.push((now_ms, now_ms, routers[who])),
+                _ if !pending.is_empty() => {
+                    let index = usize::try_from(draw).expect("small") % pending.len();
+                    let (asked_at_ms, said_at_ms, view) = pending.remove(index);
+                    let age_ms = view.confirmed_at_ms.map(|at_ms| said_at_ms - at_ms);
+                    let answer = ConfigHeartbeat { next: 0, confirmed_age_ms: age_ms };
+                    let leaves = view.version >= u64::try_from(LEAVES_FROM).expect("small");
+                    let state = if leaves { "leaving" } else { "active" };
+                    let before = standing.version();
+                    standing.router_said(Version(view.version), state, answer, asked_at_ms);
+                    prop_assert!(standing.version() >= before);
+                }
+                _ => {}
+            }
+            let takes = standing.refusal(Confirmation::Any, LIMIT_MS, now_ms).is_none();
+            if let Some(left_at_ms) = published_at_ms.get(LEAVES_FROM - 1) {
+                prop_assert!(!takes || now_ms <= left_at_ms + LIMIT_MS);
+            }
+        }
+    }
+}
+
+fn confirmed(age_ms: u64) -> ConfigHeartbeat {
+    ConfigHeartbeat {
+        next: 0,
+        confirmed_age_ms: Some(age_ms),
+    }
+}
+
+#[test]
+fn one_or_both_sources_have_to_be_confirmed() {
+    let mut standing = Standing::default();
+    let refusals = |standing: &Standing, now_ms| {
+        [Confirmation::Any, Confirmation::All]
+            .map(|needs| standing.refusal(needs, LIMIT_MS, now_ms))
+    };
+    let unconfirmed = Some(NoWork::Unconfirmed);
+    assert_eq!(refusals(&standing, 0), [unconfirmed, unconfirmed]);
+    standing.router_said(Version(1), "active", confirmed(100), 1_000);
+    assert_eq!(refusals(&standing, 1_300), [None, unconfirmed]);
+    assert_eq!(refusals(&standing, 1_301), [unconfirmed, unconfirmed]);
+    standing.hosts_said(Some(HostState::Live), 1_200);
+    assert_eq!(refusals(&standing, 1_300), [None, None]);
+    assert_eq!(refusals(&standing, 1_600), [None, unconfirmed]);
+    assert_eq!(refusals(&standing, 1_601), [unconfirmed, unconfirmed]);
+}
+
+#[test]
+fn a_host_that_was_there_and_is_gone_leaves() {
+    let mut standing = Standing::default();
+    assert!(!standing.hosts_said(None, 0));
+    assert!(standing.is_new());
+    assert!(standing.hosts_said(Some(HostState::Live), 10));
+    assert_eq!(standing.refusal(Confirmation::Any, LIMIT_MS, 20), None);
+    assert!(standing.hosts_said(None, 30));
+    let refusal = standing.refusal(Confirmation::Any, LIMIT_MS, 40);
+    assert_eq!(refusal, Some(NoWork::HostList));
+}
+
+#[test]
+fn an_older_version_says_nothing() {
+    let mut standing = Standing::default();
+    standing.router_said(Version(2), "leaving", confirmed(0), 100);
+    assert!(!standing.router_said(Version(1), "active", confirmed(0), 200));
+    assert_eq!(standing.told(), "leaving");
+    assert_eq!(standing.config_age_ms(200), Some(100));
+    assert!(standing.router_said(Version(3), "active", confirmed(0), 300));
+    assert_eq!(standing.refusal(Confirmation::Any, LIMIT_MS, 300), None);
+}
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -152,6 +152,9 @@
     // A timeout leaves the version as it is, and the answer says so.
     drop(timeout(limit, list.wait_for(is_new)).await);
     let list = list.borrow();
+    if !is_new(&list) {
+        return Json(json!({ "version": list.version })).into_response();
+    }
     let hosts: Vec<&Host> = list.hosts.values().collect();
     Json(json!({ "version": list.version, "hosts": hosts })).into_response()
 }
