--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -79,6 +79,7 @@
 mod callers;
 mod candidates;
 mod change;
+mod change_plan;
 mod chat;
 mod checkpoint;
 mod checkpoint_pace;
@@ -87,6 +88,7 @@
 mod clock;
 mod concurrency;
 mod config_task;
+mod configuration;
 mod dialer;
 mod eject;
 mod engine;
@@ -158,6 +160,7 @@
 mod signal;
 mod slice;
 mod slice_wire;
+mod standing;
 mod verdict;
 mod wallet;
 mod wallet_account;
@@ -177,10 +180,12 @@
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use change_plan::{PlanError, plan_changes};
 pub use chat::{ChatRequest, StreamEvent, Usage};
 pub use checkpoint::LoggedCheckpoint;
 pub use claim_verdict::ClaimVerdict;
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
+pub use config_task::{CONFIG_STREAM, load_config};
 pub use eject::{EjectSettings, Outliers};
 pub use error::{Category, Error, Result};
 pub use estimate::Estimate;
@@ -231,7 +236,7 @@
     prefix_hashes,
 };
 pub use propagate::{ConfigHeartbeat, Propagation};
-pub use publish::{Published, publish};
+pub use publish::{Published, publish, publish_on};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
@@ -251,5 +256,6 @@
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
+pub use standing::{Confirmation, NoWork, Standing};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
 pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
