Bind idempotency keys before the run, through any router

Cause: routers took the header Idempotency-Key and ignored it, so a retry ran and was billed again.

Change: the routers of a region hold 32 key shards, each with an owner and a witness that claim it in the stream of the region (`keys-` and a hash of the region's name, so that all routers read claims and nobody's keys). A router binds a key at its owner before the submit. A request whose key is bound attaches to that run, hands its answer on and brings its bill in under the first request's identifier, in case the first router is lost. A holder out of reach for key_takeover_ms is replaced; the order of the claims in the log decides a race. A table is frozen only while the log can be reached, so that an outage does not turn a short cut between two holders into a long refusal.

A region with one router refuses keys unless keys_without_witness is set: then the process is both holders, and its shards stay unavailable to later processes, which is safe and not available.

Ruled out: claims and keys in one stream, as every router would read every key; a reservation made only after the commit, as a request refused for its budget would leave a binding behind.

Not done: forced recovery of a shard that lost both holders; it is refused as key_unavailable.

--- a/crates/embedded/src/site.rs
+++ b/crates/embedded/src/site.rs
@@ -141,7 +141,10 @@
                 host: self.place(&name, settings, number)?,
                 callers_listen,
                 timing: settings.timing.clone(),
-                tuning: settings.router_tuning.clone(),
+                tuning: RouterTuning {
+                    keys_without_witness: settings.routers == 1,
+                    ..settings.router_tuning.clone()
+                },
             };
             let zone = router_settings.host.zone.to_string();
             let (router, addresses) = Router::start(router_settings).await?;
--- a/crates/mallowpath/src/bill_shelf.rs
+++ b/crates/mallowpath/src/bill_shelf.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Returns the bill of a request, if it is kept.
+    pub fn get(&self, request: RequestId) -> Option<&Bill> {
+        self.bills.get(&request)
+    }
+
     /// Returns how many bills are kept.
     pub fn count(&self) -> usize {
         self.bills.len()
--- a/crates/mallowpath/src/engine.rs
+++ b/crates/mallowpath/src/engine.rs
@@ -255,6 +255,7 @@
             prompt_tokens,
             completion_tokens,
             code: code.to_owned(),
+            bill: Bytes::new(),
         }
     }
 
--- a/crates/mallowpath/src/front.rs
+++ b/crates/mallowpath/src/front.rs
@@ -330,11 +330,11 @@
         }
         Output::Whole(receipt) => {
             let last = json!({
-                "id": id.to_string(),
+                "id": receipt.request.to_string(),
                 "object": "chat.completion.chunk",
                 "choices": [],
                 "usage": usage(&receipt),
-                "mallowpath": billed(id, &receipt),
+                "mallowpath": billed(&receipt),
             });
             Bytes::from(format!("data: {last}\n\ndata: [DONE]\n\n"))
         }
@@ -357,8 +357,8 @@
     })
 }
 
-fn billed(id: RequestId, receipt: &Receipt) -> serde_json::Value {
-    json!({"request_id": id.to_string(), "billed_tokens": receipt.billed_tokens()})
+fn billed(receipt: &Receipt) -> serde_json::Value {
+    json!({"request_id": receipt.request.to_string(), "billed_tokens": receipt.billed_tokens()})
 }
 
 /// Answers with one JSON object once the answer is whole.
@@ -383,10 +383,10 @@
             }
             Output::Whole(receipt) => {
                 if let Some(head) = failed_head {
-                    return passed_on(id, &head, raw, &receipt);
+                    return passed_on(&head, raw, &receipt);
                 }
                 let answer = json!({
-                    "id": id.to_string(),
+                    "id": receipt.request.to_string(),
                     "object": "chat.completion",
                     "choices": [{
                         "index": 0,
@@ -394,10 +394,15 @@
                         "finish_reason": finish_reason,
                     }],
                     "usage": usage(&receipt),
-                    "mallowpath": billed(id, &receipt),
+                    "mallowpath": billed(&receipt),
                 });
                 let body = Body::from(answer.to_string());
-                let response = response(StatusCode::OK, "application/json", body, Some(id));
+                let response = response(
+                    StatusCode::OK,
+                    "application/json",
+                    body,
+                    Some(receipt.request),
+                );
                 return with_bill(response, &receipt);
             }
             Output::Refused(refusal) => return refusal_response(&refusal, Some(id)),
@@ -422,7 +427,7 @@
             Output::Data(data) => raw.extend_from_slice(&data),
             Output::Whole(receipt) => {
                 let Some(head) = answer_head else { break };
-                return passed_on(id, &head, raw, &receipt);
+                return passed_on(&head, raw, &receipt);
             }
             Output::Refused(refusal) => return refusal_response(&refusal, Some(id)),
         }
@@ -431,12 +436,17 @@
 }
 
 /// Hands on an answer of a backend server with its own status.
-fn passed_on(id: RequestId, head: &Head, raw: Vec<u8>, receipt: &Receipt) -> Response<Body> {
+fn passed_on(head: &Head, raw: Vec<u8>, receipt: &Receipt) -> Response<Body> {
     let status = u16::try_from(head.status)
         .ok()
         .and_then(|code| StatusCode::from_u16(code).ok());
     let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    let response = response(status, &head.content_type, Body::from(raw), Some(id));
+    let response = response(
+        status,
+        &head.content_type,
+        Body::from(raw),
+        Some(receipt.request),
+    );
     with_bill(response, receipt)
 }
 
--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -10,6 +10,7 @@
     engine::end_code,
     fleet::{Service, ServiceKind, WhenUnconfirmed, Workspace},
     id::{BackendId, Incarnation, RequestId, Tokens},
+    key_client::JobKey,
     limbo,
     link::{Call, Link, now_ms},
     refusal::{Code, Outcome, Refusal},
@@ -31,7 +32,7 @@
 /// How long a sidecar may take to say that it stopped a request.
 const STOP_MS: u64 = 2000;
 /// When a caller may come back after a refusal that says nothing better.
-const RETRY_AFTER_MS: u64 = 1000;
+pub(crate) const RETRY_AFTER_MS: u64 = 1000;
 
 /// A checked request.
 #[derive(Debug, Clone)]
@@ -78,6 +79,8 @@
 /// What was billed for an answer.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Receipt {
+    /// The request under which the answer was billed; a retry with the same key shows the first one.
+    pub(crate) request: RequestId,
     /// Token counts.
     pub(crate) usage: Usage,
 }
@@ -101,7 +104,7 @@
 }
 
 /// How an attempt ended.
-enum Ended {
+pub(crate) enum Ended {
     /// The sidecar said how.
     End(End),
     /// It surely did not run; another backend server may be tried.
@@ -119,13 +122,15 @@
 }
 
 /// What one request knows while its answer is handed on.
-struct Delivery {
+pub(crate) struct Delivery {
     out: mpsc::Sender<Output>,
-    next_chunk: u64,
+    pub(crate) next_chunk: u64,
     caller_left: bool,
-    submitted_at_ms: u64,
+    /// Whether another request's run is handed on, which goes on without this request.
+    pub(crate) attached: bool,
+    pub(crate) submitted_at_ms: u64,
     /// Time to the first chunk of the current attempt.
-    first_chunk_ms: Option<u64>,
+    pub(crate) first_chunk_ms: Option<u64>,
 }
 
 impl Router {
@@ -157,17 +162,14 @@
     ) -> Result<Receipt, Refusal> {
         let deadline = Instant::now() + Duration::from_millis(job.service.timeout_ms);
         self.check_accepting(job)?;
+        if let Some(key) = JobKey::of(job) {
+            return self.run_keyed(job, key, out).await;
+        }
         let tokens = Tokens(job.prompt_tokens + job.cap_tokens);
         let reservation = self
             .reserve(&job.workspace.budget, tokens, deadline)
             .await?;
-        let mut delivery = Delivery {
-            out: out.clone(),
-            next_chunk: 0,
-            caller_left: false,
-            submitted_at_ms: 0,
-            first_chunk_ms: None,
-        };
+        let mut delivery = Delivery::new(out.clone());
         match self
             .run_reserved(job, &reservation, deadline, &mut delivery)
             .await
@@ -242,7 +244,12 @@
         }
     }
 
-    fn submit_message(&self, job: &Job, reservation: &Reservation, deadline: Instant) -> Submit {
+    pub(crate) fn submit_message(
+        &self,
+        job: &Job,
+        reservation: &Reservation,
+        deadline: Instant,
+    ) -> Submit {
         let left = deadline.saturating_duration_since(Instant::now());
         let mut parts = Vec::new();
         for part in &reservation.parts {
@@ -266,12 +273,12 @@
             body: job.body.clone(),
             model: job.service.kind == ServiceKind::Model,
             sidecar: 0,
-            lowest_open: self.bills.logged_below(),
+            lowest_open: self.keys.lowest_open(self.bills.logged_below()),
             key: None,
         }
     }
 
-    async fn submit(
+    pub(crate) async fn submit(
         &self,
         job: &Job,
         backend: BackendId,
@@ -300,7 +307,7 @@
     }
 
     /// Hands an answer on until its end, over as many connections as it takes.
-    async fn deliver(
+    pub(crate) async fn deliver(
         &self,
         job: &Job,
         attempt: &mut Attempt,
@@ -351,6 +358,7 @@
                         return Ended::Lost;
                     }
                 }
+                Err(_) if delivery.attached => return Ended::Lost,
                 Err(_) => return self.stop(job, attempt).await,
             }
         }
@@ -365,6 +373,8 @@
                 request: job.id.into(),
                 from_chunk: delivery.next_chunk,
                 sidecar: attempt.sidecar.0,
+                wait_ms: 0,
+                with_bill: delivery.attached,
             });
             if let Ok(link) = self.dialer.link(attempt.address).await {
                 if link.peer_incarnation() != attempt.sidecar {
@@ -410,7 +420,7 @@
     }
 
     /// Bills a request whose sidecar said how it ended.
-    async fn close(
+    pub(crate) async fn close(
         self: &Arc<Self>,
         job: &Job,
         reservation: Reservation,
@@ -419,20 +429,7 @@
     ) -> Result<Receipt, Refusal> {
         let bill = self.settle_bill(job, reservation, end);
         let safe = self.make_safe(bill, attempt).await;
-        if !end.whole {
-            let text = format!("the answer was cut off: {}", end.code);
-            return Err(Refusal::ran(end_refusal(end), text));
-        }
-        if !safe {
-            let text = "the bill could not be made safe in time";
-            return Err(Refusal::ran(Code::BillUnsafe, text).after(RETRY_AFTER_MS));
-        }
-        metrics::counter!("mallowpath_whole_answers_total").increment(1);
-        let usage = Usage {
-            prompt_tokens: end.prompt_tokens,
-            completion_tokens: end.completion_tokens,
-        };
-        Ok(Receipt { usage })
+        receipt(job.id, end, safe)
     }
 
     /// Frees what a request did not spend and returns its bill.
@@ -462,6 +459,18 @@
 }
 
 impl Delivery {
+    /// Begins to hand an answer on.
+    pub(crate) fn new(out: mpsc::Sender<Output>) -> Self {
+        Self {
+            out,
+            next_chunk: 0,
+            caller_left: false,
+            attached: false,
+            submitted_at_ms: 0,
+            first_chunk_ms: None,
+        }
+    }
+
     /// Takes a chunk; returns false when one before it is missing.
     async fn take(&mut self, chunk: Chunk) -> bool {
         if chunk.index > self.next_chunk {
@@ -507,8 +516,26 @@
     }
 }
 
+/// Returns what a caller is told at the end of an answer, once its bill is safe or did not become so.
+pub(crate) fn receipt(request: RequestId, end: &End, safe: bool) -> Result<Receipt, Refusal> {
+    if !end.whole {
+        let text = format!("the answer was cut off: {}", end.code);
+        return Err(Refusal::ran(end_refusal(end), text));
+    }
+    if !safe {
+        let text = "the bill could not be made safe in time";
+        return Err(Refusal::ran(Code::BillUnsafe, text).after(RETRY_AFTER_MS));
+    }
+    metrics::counter!("mallowpath_whole_answers_total").increment(1);
+    let usage = Usage {
+        prompt_tokens: end.prompt_tokens,
+        completion_tokens: end.completion_tokens,
+    };
+    Ok(Receipt { request, usage })
+}
+
 #[cold]
-fn lost(attempt: &Attempt) -> Refusal {
+pub(crate) fn lost(attempt: &Attempt) -> Refusal {
     let text = format!(
         "backend server {} was lost during the request",
         attempt.backend
--- a/crates/mallowpath/src/key_replica.rs
+++ b/crates/mallowpath/src/key_replica.rs
@@ -124,6 +124,14 @@
         CommitAnswer::New(self.update(record))
     }
 
+    /// Returns what a key is bound to as owner, and binds nothing.
+    pub fn find(&self, key: KeyHash, body_hash: u64) -> Option<CommitAnswer> {
+        if !self.is_owner() {
+            return Some(CommitAnswer::NotOwner);
+        }
+        Some(self.table.get(key)?.answer(body_hash))
+    }
+
     /// Binds a key to another request as owner.
     ///
     /// The caller has proof that the request `old` never runs: the sidecar that the binding names
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -107,10 +107,16 @@
 mod keeper_account;
 mod keeper_task;
 mod key;
+mod key_call;
 mod key_claim;
+mod key_client;
 mod key_message;
+mod key_owner;
 mod key_replica;
+mod key_run;
 mod key_table;
+mod key_takeover;
+mod key_task;
 mod ledger;
 mod ledger_records;
 mod limbo;
@@ -195,8 +201,13 @@
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
 };
+pub use key_call::{
+    KeyAnswer, KeyAsk, KeyBound, KeyBoundKind, KeyCall, KeyCommit, KeyCopyPart, KeyFinish,
+    KeyLookup, KeyReply,
+};
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
+pub use key_task::{KEY_SHARDS, key_stream};
 pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
--- a/crates/mallowpath/src/refusal.rs
+++ b/crates/mallowpath/src/refusal.rs
@@ -50,6 +50,8 @@
     KeyReused,
     /// The idempotency key can't be checked at the moment.
     KeyUnavailable,
+    /// The request ran before and its answer is no longer kept.
+    AnswerGone,
     /// The configuration can't be confirmed and the workspace asks to refuse then.
     Unconfirmed,
     /// The bill could not be made safe in time.
@@ -113,6 +115,7 @@
             Code::NotFound => StatusCode::NOT_FOUND,
             Code::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Code::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Code::AnswerGone => StatusCode::GONE,
             Code::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             Code::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Code::BackendFailed => StatusCode::BAD_GATEWAY,
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -15,6 +15,7 @@
     host_client::{HostClient, HostClientSettings, HostList},
     id::{BackendId, Incarnation, RequestId, Version},
     job::Job,
+    key_task::Keys,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
     peers::{sidecar_addresses, witness_addresses},
@@ -53,6 +54,7 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) keys: Keys,
     routes: Routes,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
@@ -114,6 +116,7 @@
                 configuration,
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
+                keys: Keys::new(incarnation, peers_address, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 peers_seen: PeersSeen::default(),
                 hosts,
@@ -144,6 +147,7 @@
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(crate::key_takeover::tend(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -241,6 +245,7 @@
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "keys": self.keys.dump(),
         })
     }
 
--- a/crates/mallowpath/src/router_calls.rs
+++ b/crates/mallowpath/src/router_calls.rs
@@ -33,6 +33,10 @@
                 failed("bad_bills")
             }
         }
+        Body::KeyCall(call) => match call.ask {
+            Some(ask) => Body::KeyReply(router.serve_key_call(ask).await),
+            None => failed("not_served"),
+        },
         Body::FetchConfig(fetch) => {
             Body::ConfigRecords(router.configuration.records(Offset(fetch.from)))
         }
--- a/crates/mallowpath/src/run.rs
+++ b/crates/mallowpath/src/run.rs
@@ -344,6 +344,11 @@
         self.runs.contains_key(&id)
     }
 
+    /// Returns whether attaching to a request would write a tombstone for it.
+    pub fn is_new(&self, id: RequestId) -> bool {
+        !self.holds(id) && !self.marks.is_tombstoned(id) && !self.marks.may_have_run(id)
+    }
+
     /// Returns the number of runs that go on.
     pub fn running(&self) -> usize {
         self.running
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -16,6 +16,8 @@
 const NAME: &str = "a name of letters, digits and - _ . / :";
 const MIN_MS: u64 = 1;
 const MAX_MS: u64 = 3_600_000;
+/// A day.
+const MAX_KEEP_MS: u64 = 24 * 3_600_000;
 const MAX_COUNT: u64 = 100_000;
 
 /// What every process of the fleet is told about its place.
@@ -84,6 +86,15 @@
     pub max_waiting: u64,
     /// How long a draining router takes connections while the balancer learns of it.
     pub drain_notice_ms: u64,
+    /// How long a key stays bound after the end of its run.
+    pub key_keep_ms: u64,
+    /// How long the other holder of a key shard may be out of reach before its place is taken.
+    pub key_takeover_ms: u64,
+    /// Whether this router holds keys alone while it is the only one of its region.
+    ///
+    /// They are lost with the process: it then binds no key to a second request, but its shards stay
+    /// unavailable to later processes.
+    pub keys_without_witness: bool,
 }
 
 /// Settings of a sidecar.
@@ -237,6 +248,13 @@
         sidecars_per_service: count(reader, "sidecars_per_service", default.sidecars_per_service),
         max_waiting: count(reader, "max_waiting", default.max_waiting),
         drain_notice_ms: millis(reader, "drain_notice_ms", default.drain_notice_ms),
+        key_keep_ms: reader.number("key_keep_ms", MIN_MS, MAX_KEEP_MS, default.key_keep_ms),
+        key_takeover_ms: millis(reader, "key_takeover_ms", default.key_takeover_ms),
+        keys_without_witness: reader.choice(
+            "keys_without_witness",
+            &[("yes", true), ("no", false)],
+            default.keys_without_witness,
+        ),
     };
     let host = host?;
     let callers_listen = callers_listen?;
@@ -382,6 +400,9 @@
             sidecars_per_service: 16,
             max_waiting: 10_000,
             drain_notice_ms: 1_000,
+            key_keep_ms: 3_600_000,
+            key_takeover_ms: 3_000,
+            keys_without_witness: false,
         }
     }
 }
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -113,6 +113,7 @@
         let (listener, address) = bind(settings.host.peer_listen, "listen for routers").await?;
         let incarnation = Incarnation::random();
         let run_settings = RunSettings {
+            keep_ms: settings.tuning.keep_answer_ms,
             max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
             ..RunSettings::default()
         };
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -16,7 +16,10 @@
         Submit, SubmitKey,
     },
 };
-use std::sync::Arc;
+use prost::Message;
+use std::{sync::Arc, time::Duration};
+
+const SUBMIT_PAUSE_MS: u64 = 5;
 
 /// Serves one call.
 pub(crate) async fn serve_call(sidecar: Arc<Sidecar>, body: Body, responder: Responder) {
@@ -67,7 +70,7 @@
     };
     let (code, retry_after_ms) = match decision {
         SubmitAnswer::Start => {
-            forward(&sidecar, id, 0, &responder).await;
+            forward(&sidecar, id, 0, &responder, false).await;
             sidecar.runs().table.detach(id, now_ms());
             return;
         }
@@ -76,6 +79,7 @@
                 request: id.into(),
                 from_chunk: 0,
                 sidecar: sidecar.incarnation.0,
+                ..Attach::default()
             };
             return serve_attach(&sidecar, &attach, &responder).await;
         }
@@ -189,10 +193,11 @@
         };
         return answer(responder, Body::CallFailed(failed)).await;
     }
+    wait_for_submit(sidecar, id, attach.wait_ms).await;
     let attached = sidecar.runs().table.attach(id, usize::MAX);
     match attached {
         AttachAnswer::Chunks { .. } => {
-            forward(sidecar, id, attach.from_chunk, responder).await;
+            forward(sidecar, id, attach.from_chunk, responder, attach.with_bill).await;
             sidecar.runs().table.detach(id, now_ms());
         }
         AttachAnswer::Never => {
@@ -211,8 +216,22 @@
     }
 }
 
+/// Gives a submit that is under way time to arrive before its tombstone is written.
+async fn wait_for_submit(sidecar: &Sidecar, id: RequestId, wait_ms: u64) {
+    let give_up = now_ms().saturating_add(wait_ms);
+    while sidecar.runs().table.is_new(id) && now_ms() < give_up {
+        tokio::time::sleep(Duration::from_millis(SUBMIT_PAUSE_MS)).await;
+    }
+}
+
 /// Sends an answer from a chunk on until its end, or until the router gives the call up.
-async fn forward(sidecar: &Arc<Sidecar>, id: RequestId, from_chunk: u64, responder: &Responder) {
+async fn forward(
+    sidecar: &Arc<Sidecar>,
+    id: RequestId,
+    from_chunk: u64,
+    responder: &Responder,
+    with_bill: bool,
+) {
     let Some(signal) = sidecar.runs().signals.get(&id).map(Arc::clone) else {
         return;
     };
@@ -240,7 +259,10 @@
             }
             next += 1;
         }
-        if let Some(end) = end {
+        if let Some(mut end) = end {
+            if with_bill && let Some(bill) = sidecar.bills().get(id) {
+                end.bill = bill.to_record().encode_to_vec().into();
+            }
             responder.send(Body::End(end)).await;
             return;
         }
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     id::{GrantId, Incarnation, RequestId, SliceId},
+    key_call::{KeyCall, KeyReply},
     members::{Fence, KeyEpoch},
 };
 
@@ -275,6 +276,12 @@
     /// The incarnation of the sidecar to which the request was submitted.
     #[prost(fixed64, tag = "3")]
     pub sidecar: u64,
+    /// How long the sidecar waits for a submit that is under way, before it writes a tombstone.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+    /// Whether the end is to carry the bill, for a router that did not submit the request.
+    #[prost(bool, tag = "5")]
+    pub with_bill: bool,
 }
 
 /// The request did not run and will not.
@@ -331,6 +338,9 @@
     /// Stable code of what went wrong; empty when the answer is whole.
     #[prost(string, tag = "6")]
     pub code: String,
+    /// The bill as it is in the bill streams, if it was asked for and the log is not known to have it.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub bill: bytes::Bytes,
 }
 
 /// A slice of a grant on the wire.
@@ -483,22 +493,6 @@
     pub billed: Vec<SlicePart>,
 }
 
-/// A call about idempotency keys, encoded by the key module.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyCall {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
-}
-
-/// The answer to a [`KeyCall`], encoded by the key module.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyReply {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
-}
-
 /// An order for a backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Order {
