--- a/crates/embedded/src/site.rs
+++ b/crates/embedded/src/site.rs
@@ -177,7 +177,10 @@
             host: self.place(&name, &self.settings, number)?,
             callers_listen,
             timing: self.settings.timing.clone(),
-            tuning: self.settings.router_tuning.clone(),
+            tuning: RouterTuning {
+                keys_without_witness: self.settings.routers == 1,
+                ..self.settings.router_tuning.clone()
+            },
         };
         let zone = router_settings.host.zone.to_string();
         let process = Process::new()?;
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -16,6 +16,7 @@
     host_client::{HostClient, HostClientSettings, HostList},
     id::{BackendId, Incarnation, RequestId, Version},
     job::Job,
+    key_task::Keys,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
     members_task::MembersTask,
@@ -58,6 +59,7 @@
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
     pub(crate) orders: OrderDesk,
+    pub(crate) keys: Keys,
     routes: Routes,
     pub(crate) members: MembersTask,
     pub(crate) reclaims: Reclaims,
@@ -124,6 +126,7 @@
                 configuration: Configuration::default(),
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
+                keys: Keys::new(incarnation, peers_address, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 orders: OrderDesk::default(),
                 members: MembersTask::new(log.clone()),
@@ -163,6 +166,7 @@
         tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
         tokio::spawn(Arc::clone(self).follow_members());
         tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
+        tokio::spawn(crate::key_takeover::tend(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -270,6 +274,7 @@
             "orders": self.orders.dump(),
             "members": self.members.dump(),
             "reclaims": self.reclaims.dump(),
+            "keys": self.keys.dump(),
         })
     }
 
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -127,6 +127,7 @@
             bind(settings.host.admin_listen, "listen for operators").await?;
         let incarnation = Incarnation::random();
         let run_settings = RunSettings {
+            keep_ms: settings.tuning.keep_answer_ms,
             max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
             ..RunSettings::default()
         };
