--- a/crates/mallowpath/src/bills.rs
+++ b/crates/mallowpath/src/bills.rs
@@ -30,8 +30,6 @@
 const ASK_MS: u64 = 500;
 /// How long an answer waits for its bill to be safe.
 const SAFE_MS: u64 = 5000;
-/// How long a router may be gone before others bring its bills to the log.
-pub(crate) const LOST_ROUTER_MS: u64 = 10_000;
 /// How long a draining router waits for the log.
 const DRAIN_MS: u64 = 10_000;
 
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
-    bills::{Bills, LOST_ROUTER_MS},
+    bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
     config_task::Configuration,
@@ -18,6 +18,7 @@
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
     members_task::MembersTask,
+    order_task::OrderDesk,
     peers::{sidecar_addresses, witness_addresses},
     reclaim_task::Reclaims,
     refusal::Refusal,
@@ -55,6 +56,7 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) orders: OrderDesk,
     routes: Routes,
     pub(crate) members: MembersTask,
     pub(crate) reclaims: Reclaims,
@@ -121,6 +123,7 @@
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 members: MembersTask::new(log.clone()),
                 reclaims: Reclaims::default(),
+                orders: OrderDesk::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
                 draining: AtomicBool::new(false),
@@ -152,6 +155,7 @@
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
         tokio::spawn(Arc::clone(self).follow_members());
         tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
+        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -251,6 +255,7 @@
             "bills": self.bills.dump(),
             "members": self.members.dump(),
             "reclaims": self.reclaims.dump(),
+            "orders": self.orders.dump(),
         })
     }
 
@@ -301,6 +306,7 @@
             self.bills.heard(link.peer_incarnation(), heartbeat);
         } else {
             self.routes.heard(link, heartbeat);
+            self.orders.heard(link, &heartbeat.ordered);
         }
     }
 
@@ -332,7 +338,7 @@
         self.reclaims.met(link.peer());
         link.closed().await;
         self.peers_seen.closed(peer);
-        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        tokio::time::sleep(Duration::from_millis(self.settings.timing.lost_router_ms)).await;
         if !self.peers_seen.is_open(peer) {
             self.bills.adopt_from_shelf(peer);
         }
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -8,7 +8,7 @@
     ini::IniDocument,
     issue::{Issue, IssueReport, nearest},
     link::LinkSettings,
-    section::{Reader, Section, sections_of},
+    section::{Reader, Section, YES_OR_NO, sections_of},
 };
 use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc};
 
@@ -50,6 +50,8 @@
     pub platform_timeout_ms: u64,
     /// How long a read at the end of a stream or list waits for news.
     pub platform_wait_ms: u64,
+    /// How long a router may be gone before others bring its bills to the log.
+    pub lost_router_ms: u64,
 }
 
 /// Settings of a router.
@@ -114,6 +116,10 @@
     pub unconfirmed_after_ms: u64,
     /// Interval between reads of the backend server's load.
     pub load_poll_ms: u64,
+    /// Whether the backend server refuses orders with an old fencing number itself.
+    pub server_checks_fences: bool,
+    /// How long an order may take before the backend server's state is called unknown.
+    pub order_timeout_ms: u64,
 }
 
 impl PeerTiming {
@@ -267,6 +273,12 @@
         keep_answer_ms: millis(reader, "keep_answer_ms", default.keep_answer_ms),
         unconfirmed_after_ms: millis(reader, "unconfirmed_after_ms", default.unconfirmed_after_ms),
         load_poll_ms: millis(reader, "load_poll_ms", default.load_poll_ms),
+        server_checks_fences: reader.choice(
+            "server_checks_fences",
+            &YES_OR_NO,
+            default.server_checks_fences,
+        ),
+        order_timeout_ms: millis(reader, "order_timeout_ms", default.order_timeout_ms),
     };
     let host = host?;
     check_listen(
@@ -313,6 +325,7 @@
         connect_timeout_ms: millis(reader, "connect_timeout_ms", default.connect_timeout_ms),
         platform_timeout_ms: millis(reader, "platform_timeout_ms", default.platform_timeout_ms),
         platform_wait_ms: millis(reader, "platform_wait_ms", default.platform_wait_ms),
+        lost_router_ms: millis(reader, "lost_router_ms", default.lost_router_ms),
     };
     if timing.peer_timeout_ms < 2 * timing.heartbeat_ms {
         reject_timing(reader, &timing);
@@ -364,6 +377,7 @@
             connect_timeout_ms: 1_000,
             platform_timeout_ms: 5_000,
             platform_wait_ms: 2_000,
+            lost_router_ms: 10_000,
         }
     }
 }
@@ -390,6 +404,8 @@
             keep_answer_ms: 600_000,
             unconfirmed_after_ms: 30_000,
             load_poll_ms: 500,
+            server_checks_fences: false,
+            order_timeout_ms: 60_000,
         }
     }
 }
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -7,7 +7,6 @@
     bill::BillBatch,
     bill_book::BillWatermark,
     bill_shelf::BillShelf,
-    bills::LOST_ROUTER_MS,
     engine::Engine,
     error::Result,
     id::{Incarnation, RequestId},
@@ -15,12 +14,14 @@
     load_poll::poll_load,
     log_client::{LogClient, LogClientSettings},
     members::Join,
+    order::OrderSettings,
     run::{RunSettings, RunTable},
     running::Running,
     seen::PeersSeen,
     settings::SidecarSettings,
     sidecar_calls::serve_call,
     sidecar_join::{join, leave},
+    sidecar_orders::SidecarOrders,
     wire::{Body, End, Head, Heartbeat, Hello, KeepBills, Load},
 };
 use prost::Message;
@@ -50,6 +51,7 @@
     pub(crate) settings: SidecarSettings,
     pub(crate) incarnation: Incarnation,
     pub(crate) engine: Engine,
+    pub(crate) orders: SidecarOrders,
     pub(crate) running: Running,
     runs: Mutex<Runs>,
     bills: Mutex<BillShelf>,
@@ -126,9 +128,14 @@
             max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
             ..RunSettings::default()
         };
+        let order_settings = OrderSettings {
+            server_checks_fences: settings.tuning.server_checks_fences,
+            timeout_ms: settings.tuning.order_timeout_ms,
+        };
         let sidecar = Arc::new(Self {
             incarnation,
             engine: Engine::new(settings.backend_address),
+            orders: SidecarOrders::new(settings.backend_address, order_settings),
             running: Running::default(),
             runs: Mutex::new(Runs {
                 table: RunTable::new(incarnation, run_settings, []),
@@ -250,6 +257,7 @@
             "draining": self.draining.load(Ordering::Relaxed),
             "joined": self.joined.load(Ordering::Relaxed),
             "running": running,
+            "order_state_unknown": self.orders.is_state_unknown(),
             "kept_bytes": kept_bytes,
             "runs": runs,
             "bills_kept": bills,
@@ -267,9 +275,10 @@
         link.closed().await;
         self.links().retain(|held| !Arc::ptr_eq(held, &link));
         self.routers_seen.closed(router);
-        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        let pause = Duration::from_millis(self.settings.timing.lost_router_ms);
+        tokio::time::sleep(pause).await;
         while !self.routers_seen.is_open(router) && !self.hand_over_bills(router).await {
-            tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+            tokio::time::sleep(pause).await;
         }
     }
 
@@ -393,6 +402,7 @@
             accepting,
             load,
             billed_elsewhere,
+            ordered: self.orders.ordered(),
             ..Heartbeat::default()
         }
     }
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -38,6 +38,7 @@
     spent: BTreeMap<GrantId, Tokens>,
     closed_grants: BTreeSet<GrantId>,
     last_request: u64,
+    closing: bool,
     revoked: bool,
 }
 
@@ -73,6 +74,7 @@
             spent: BTreeMap::new(),
             closed_grants: BTreeSet::new(),
             last_request: 0,
+            closing: false,
             revoked: false,
         }
     }
@@ -147,7 +149,7 @@
                 outgoing.push(pending.to_outgoing());
             }
         }
-        if self.revoked {
+        if self.revoked || self.closing {
             return outgoing;
         }
         let mut asked = BTreeSet::new();
@@ -268,8 +270,9 @@
         }
     }
 
-    /// Returns all slices from now on as soon as nothing of them is reserved.
+    /// Returns all slices from now on as soon as nothing of them is reserved, and asks for no more.
     pub fn close(&mut self) {
+        self.closing = true;
         self.settings.idle_ms = 0;
     }
 
