Reclaim the grants of a lost router's keepers

And a lost router was found only by connections that it had opened, so one that was killed before the first check, or replaced and not asked for anything, was never fenced.

Change: routers join `members` too, so who may hold slices is a function of the prefix. A join on the same host proves that the earlier process is gone; a host that left the host list is given up after `lost_router_ms`. Draws and slices carry up to where their keeper had read `members`: whoever left before can't have held or billed any of them. A grant of a fenced router is closed once every router that may hold a part has given its last word, or is fenced and vouched for by the sidecars; where a sidecar went after the draw, the part of fenced holders can't be proven and the grant stays out. A keeper gives slices only to routers that are live in what it has read.

Ruled out: marking open slices when a sidecar goes, as the mark could come after the proof was used; offsets compare without that race.

Not done: a keeper that nobody replaces (no request for its shard) is not reclaimed until the shard is asked for again.

--- a/crates/embedded/tests/reclaim.rs
+++ b/crates/embedded/tests/reclaim.rs
@@ -28,6 +28,7 @@
         };
         settings.router_tuning.bill_batch_ms = 100;
         settings.router_tuning.drain_notice_ms = 20;
+        settings.timing.lost_router_ms = 1000;
         let site = Site::start(settings).await.expect("the site starts");
         let mut pair = Self {
             site,
@@ -62,7 +63,9 @@
     async fn chat(&self, router: usize, tokens: u64) -> Answer {
         let body = json!({
             "model": "small",
-            "max_tokens": tokens,
+            // More than it uses, so that the rest of the slice stays with the router.
+            "max_tokens": 100,
+            "standin_tokens": tokens,
             "messages": [{"role": "user", "content": "Hello"}],
         });
         let callers = self.site.routers[router].1.callers;
@@ -93,7 +96,7 @@
             }
             tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
         }
-        panic!("reclaims: {}", self.dump(self.keeper).await["reclaims"]);
+        panic!("keeper's state: {:#}", self.dump(self.keeper).await);
     }
 
     fn log(&self) -> LogClient {
@@ -168,6 +171,29 @@
     assert_eq!(sums(&report), (0, 10, 10), "{report}");
 }
 
+#[tokio::test]
+async fn lost_keepers_grants_come_back() {
+    let mut pair = Pair::start().await;
+    let lost = pair.incarnation(pair.keeper).await;
+    pair.site
+        .restart_router(pair.keeper)
+        .await
+        .expect("it starts");
+    pair.wait_until_located(pair.keeper).await;
+    let mut answers = 0;
+    for _ in 0..TRIES {
+        answers += u64::from(pair.chat(pair.keeper, 3).await.status == 200);
+        if is_done(&pair.dump(pair.keeper).await["reclaims"][&lost]) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+    pair.reclaim(&lost, is_done).await;
+    let report = pair.drain(&[pair.other, pair.keeper]).await;
+    let all = 10 + 5 * answers;
+    assert_eq!(sums(&report), (0, all, all), "{report}");
+}
+
 #[tokio::test]
 async fn tokens_stay_out_while_a_sidecar_may_have_billed_them() {
     let mut pair = Pair::start().await;
@@ -206,7 +232,6 @@
     let fenced: Incarnation = lost.parse().expect("an incarnation");
     let keeper = &pair.site.routers[pair.keeper].0;
     keeper.fence(fenced).await.expect("the log is up");
-    pair.reclaim(&lost, is_done).await;
     pair.site.routers[pair.other].0.drained().await;
     let report = pair.drain(&[pair.keeper]).await;
     assert_eq!(sums(&report), (0, 10, 10), "{report}");
--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -1,17 +1,16 @@
 //! A router's share in the budgets: its wallet, and the keepers that it is for its zone.
 
 use crate::{
-    id::{BudgetId, GrantId, Incarnation, SliceId, Tokens, Version},
+    id::{BudgetId, GrantId, Incarnation, Offset, SliceId, Tokens, Version},
     keeper::{Keeper, KeeperSettings},
     keeper_task::{KeeperTask, describe_ledger, keeper_incarnation},
     ledger::{LEDGER_SHARDS, shard_of},
     link::now_ms,
-    members::FenceTarget,
     peers::keeper_host,
     refusal::{Code, Refusal},
     reservation::{Reservation, ReserveOutcome, SlicePart},
     router::Router,
-    slice::{SliceRequest, SliceReturn},
+    slice::{SliceAnswer, SliceReply, SliceRequest, SliceReturn},
     wallet::{OutgoingRequest, Wallet, WalletSettings},
     wire::{self, Body},
 };
@@ -119,33 +118,62 @@
         self.keepers().values().cloned().collect()
     }
 
-    /// Returns whether a router holds slices of a keeper of this process.
-    pub(crate) fn has_slices_of(&self, router: Incarnation) -> bool {
+    /// Gives a fenced router nothing more.
+    pub(crate) fn fence_router(&self, router: Incarnation) {
         for task in self.keeper_tasks() {
-            if task.with(|keeper| !keeper.open_slices(router).is_empty()) {
-                return true;
+            task.with(|keeper| keeper.fence_router(router));
+        }
+    }
+
+    /// Takes nothing more from the keepers of a fenced router and spends nothing more of theirs.
+    pub(crate) fn fence_keepers(&self, router: Incarnation) {
+        let mut wallet = self.wallet();
+        for shard in 0..LEDGER_SHARDS {
+            wallet.fence_keeper(keeper_incarnation(router, shard));
+        }
+    }
+
+    /// Returns what was spent of a fenced router's grants, once its fence was seen here.
+    pub(crate) fn report_keepers(&self, router: Incarnation) -> Option<wire::KeepersReport> {
+        let wallet = self.wallet();
+        let mut sum = wire::KeepersReport {
+            settled: true,
+            ..wire::KeepersReport::default()
+        };
+        for shard in 0..LEDGER_SHARDS {
+            let report = wallet.report_keeper(keeper_incarnation(router, shard))?;
+            sum.settled &= report.settled;
+            for part in report.grants {
+                sum.grants.push(wire::GrantSum {
+                    grant: part.grant.into(),
+                    tokens: part.spent.0,
+                });
             }
         }
-        false
+        Some(sum)
     }
 
-    /// Gives a fenced router nothing more.
-    pub(crate) fn fence_router(&self, router: Incarnation) {
-        for task in self.keeper_tasks() {
-            task.with(|keeper| keeper.fence_router(router));
+    /// Forgets fenced keepers that have no open grant any more.
+    pub(crate) fn forget_keepers(&self, keepers: &[u64]) {
+        let mut wallet = self.wallet();
+        for keeper in keepers {
+            wallet.forget_keeper(Incarnation(*keeper));
         }
     }
 
-    /// Notes that a sidecar is gone with its sums of what was billed.
-    pub(crate) fn sidecar_gone(&self) {
+    /// Notes up to where `members` was read and acted on.
+    pub(crate) fn members_read(&self, upto: Offset) {
         for task in self.keeper_tasks() {
-            task.with(Keeper::sidecar_gone);
+            task.with(|keeper| keeper.set_members_seen(upto));
         }
     }
 
     /// Stops spending for good.
     pub(crate) fn revoke(&self) {
         self.wallet().revoke();
+        for task in self.keeper_tasks() {
+            task.with(Keeper::revoke);
+        }
         self.answered.notify_waiters();
     }
 
@@ -236,13 +264,13 @@
         let settings = KeeperSettings::default();
         let task = KeeperTask::start(self.incarnation, shard, self.log.clone(), settings).await?;
         log::info!("keeping budget shard {shard} as {}", task.incarnation());
-        // Entered before the fences are read, so that none falls between.
+        // Entered before the members are read, so that no event falls between.
         self.budgets.keepers().insert(shard, Arc::clone(&task));
-        for target in self.members.fenced() {
-            if let FenceTarget::Router(router) = target {
-                task.with(|keeper| keeper.fence_router(Incarnation(router)));
-            }
+        let read = self.members.next_offset();
+        for router in self.members.refused_routers() {
+            task.with(|keeper| keeper.fence_router(router));
         }
+        task.with(|keeper| keeper.set_members_seen(read));
         Ok(task)
     }
 
@@ -254,6 +282,18 @@
     pub(crate) async fn keep(&self, request: &SliceRequest) -> crate::Result<wire::SliceReply> {
         let shard = shard_of(&request.budget, LEDGER_SHARDS);
         let task = self.local_keeper(shard).await?;
+        if !self.members.is_live(request.router) {
+            // Its join may not have been read here yet; it asks again.
+            let reply = SliceReply {
+                number: request.number,
+                oldest_open_grant: 0,
+                unspent: Tokens(u64::MAX),
+                answer: SliceAnswer::Short {
+                    retry_after_ms: TICK_MS,
+                },
+            };
+            return Ok(wire::SliceReply::new(task.incarnation(), &reply));
+        }
         let reply = task.request(request, self.limit_of(&request.budget)).await;
         Ok(wire::SliceReply::new(task.incarnation(), &reply))
     }
@@ -384,9 +424,11 @@
 
     /// Sends what the wallet asks for and gives back, each in a task of its own.
     fn exchange_slices(self: &Arc<Self>) {
-        let requests = {
+        let requests = if self.members.is_live(self.incarnation) {
             let mut wallet = self.budgets.wallet();
             wallet.requests(|budget| self.known_keeper(budget), now_ms())
+        } else {
+            Vec::new()
         };
         for outgoing in requests {
             let router = Arc::clone(self);
--- a/crates/mallowpath/src/checkpoint.rs
+++ b/crates/mallowpath/src/checkpoint.rs
@@ -97,6 +97,7 @@
                 budget,
                 grant: (*id).into(),
                 tokens: grant.tokens,
+                members_seen: grant.members_seen,
             });
         }
         for (incarnation, last) in &self.last_draws {
@@ -187,6 +188,7 @@
                 OpenGrant {
                     budget,
                     tokens: state.tokens,
+                    members_seen: state.members_seen,
                 },
             );
         }
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -54,6 +54,7 @@
     last_slice: u64,
     outbox: Outbox,
     revoked: bool,
+    members_seen: Offset,
     /// Whether this keeper ends: it draws nothing more and gives nothing out.
     closing: bool,
 }
@@ -72,6 +73,7 @@
             last_slice: 0,
             outbox: Outbox::new(incarnation),
             revoked: false,
+            members_seen: Offset(0),
             closing: false,
         }
     }
@@ -224,7 +226,13 @@
         let share = Tokens(reachable.0 / self.settings.share_divisor.max(1));
         let tokens = request.expected.min(share).max(needed).min(free);
         account.rate.add(tokens, now_ms);
-        let slices = account.cut(request, tokens, self.incarnation, &mut self.last_slice);
+        let slices = account.cut(
+            request,
+            tokens,
+            self.incarnation,
+            self.members_seen,
+            &mut self.last_slice,
+        );
         self.refill(&request.budget, now_ms);
         SliceAnswer::Granted(slices)
     }
@@ -268,7 +276,8 @@
             incarnation: self.incarnation,
             sequence: self.last_grant,
         };
-        self.outbox.push(LedgerRecord::draw(budget, grant, tokens));
+        let draw = LedgerRecord::draw(budget, grant, tokens);
+        self.outbox.push(draw.seen(self.members_seen));
     }
 
     /// Takes a slice back; a second copy changes nothing.
@@ -330,26 +339,30 @@
         slices
     }
 
-    /// Notes that a sidecar is gone, and with it what it billed to the slices that are out now.
-    ///
-    /// Slices cut later can't have been billed by it.
-    pub fn sidecar_gone(&mut self) {
-        for account in self.accounts.values_mut() {
-            for held in account.grants.values_mut() {
-                for open in held.open.values_mut() {
-                    open.unprovable = true;
-                }
-            }
-        }
+    /// Notes up to where `members` was read, for the draws that follow.
+    pub fn set_members_seen(&mut self, seen: Offset) {
+        self.members_seen = self.members_seen.max(seen);
+    }
+
+    /// Stops giving out and drawing for good, once this keeper's router is fenced.
+    pub fn revoke(&mut self) {
+        self.revoked = true;
+        self.closing = true;
     }
 
-    /// Returns the open slices of a router of which no reclaim can prove what was spent.
-    pub fn unprovable_slices(&self, router: Incarnation) -> BTreeSet<SliceId> {
+    /// Returns the open slices of a router that a sidecar which went at `gone_at` may have billed:
+    /// what was spent of them can't be proven any more.
+    pub fn unprovable_slices(
+        &self,
+        router: Incarnation,
+        gone_at: Option<Offset>,
+    ) -> BTreeSet<SliceId> {
         let mut slices = BTreeSet::new();
         for account in self.accounts.values() {
             for held in account.grants.values() {
                 for (sequence, open) in &held.open {
-                    if open.router == router && open.unprovable {
+                    let unprovable = gone_at.is_some_and(|at| at >= open.members_seen);
+                    if open.router == router && unprovable {
                         slices.insert(SliceId {
                             incarnation: self.incarnation,
                             sequence: *sequence,
--- a/crates/mallowpath/src/keeper_account.rs
+++ b/crates/mallowpath/src/keeper_account.rs
@@ -1,7 +1,7 @@
 //! What a keeper holds of one budget.
 
 use crate::{
-    BudgetId, GrantId, Incarnation, KeeperSettings, SliceId, Tokens,
+    BudgetId, GrantId, Incarnation, KeeperSettings, Offset, SliceId, Tokens,
     rate::RateMeter,
     slice::{Slice, SliceAnswer, SliceRequest},
 };
@@ -28,8 +28,8 @@
 pub(crate) struct OpenSlice {
     pub(crate) router: Incarnation,
     pub(crate) tokens: Tokens,
-    /// Whether a sidecar that may have billed the slice is gone with its sums.
-    pub(crate) unprovable: bool,
+    /// Up to where the keeper had read `members`: whoever left before can't have spent of it.
+    pub(crate) members_seen: Offset,
 }
 
 #[derive(Debug)]
@@ -68,6 +68,7 @@
         request: &SliceRequest,
         tokens: Tokens,
         incarnation: Incarnation,
+        members_seen: Offset,
         last_slice: &mut u64,
     ) -> Vec<Slice> {
         let mut slices = Vec::new();
@@ -85,7 +86,7 @@
                 OpenSlice {
                     router: request.router,
                     tokens: part,
-                    unprovable: false,
+                    members_seen,
                 },
             );
             let id = SliceId {
--- a/crates/mallowpath/src/ledger.rs
+++ b/crates/mallowpath/src/ledger.rs
@@ -10,7 +10,7 @@
     verdict::GapSnafu,
 };
 use prost::Message;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// The largest limit and the largest sum of top-ups of one budget, in tokens.
@@ -38,6 +38,7 @@
 pub(crate) struct OpenGrant {
     pub(crate) budget: BudgetId,
     pub(crate) tokens: u64,
+    pub(crate) members_seen: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -88,6 +89,17 @@
         open
     }
 
+    /// Returns up to where the holder of an open grant had read `members` when it drew it.
+    pub fn members_seen(&self, grant: GrantId) -> Option<Offset> {
+        let open = self.grants.get(&grant)?;
+        Some(Offset(open.members_seen))
+    }
+
+    /// Returns the incarnations that hold open grants.
+    pub fn grant_holders(&self) -> BTreeSet<Incarnation> {
+        self.grants.keys().map(|grant| grant.incarnation).collect()
+    }
+
     /// Judges the batch at an offset and returns one verdict for each record.
     ///
     /// A batch below the state's next offset was judged before and gets no verdicts.
@@ -204,11 +216,17 @@
         let Ok(budget) = record.budget.parse::<BudgetId>() else {
             return verdict(None, Some(grant), Effect::Void(VoidReason::Malformed));
         };
-        let effect = self.draw(offset, &budget, grant, record.tokens);
+        let effect = self.draw(offset, &budget, grant, record);
         verdict(Some(budget), Some(grant), effect)
     }
 
-    fn draw(&mut self, offset: u64, budget: &BudgetId, grant: GrantId, asked: u64) -> Effect {
+    fn draw(
+        &mut self,
+        offset: u64,
+        budget: &BudgetId,
+        grant: GrantId,
+        record: &DrawRecord,
+    ) -> Effect {
         let last = self.last_draws.get(&grant.incarnation);
         if last.is_some_and(|last| grant.sequence <= last.sequence) {
             return Effect::Void(VoidReason::Duplicate);
@@ -227,7 +245,7 @@
         let Some(balance) = self.budgets.get_mut(budget) else {
             return Effect::Void(VoidReason::UnknownBudget);
         };
-        let granted = Tokens(asked.min(balance.left().0));
+        let granted = Tokens(record.tokens.min(balance.left().0));
         if granted == Tokens::ZERO {
             return Effect::Void(VoidReason::NothingLeft);
         }
@@ -237,6 +255,7 @@
             OpenGrant {
                 budget: budget.clone(),
                 tokens: granted.0,
+                members_seen: record.members_seen,
             },
         );
         Effect::Granted(granted)
--- a/crates/mallowpath/src/ledger_records.rs
+++ b/crates/mallowpath/src/ledger_records.rs
@@ -1,6 +1,6 @@
 //! Records of the `ledger-NN` streams.
 
-use crate::{BudgetId, GrantId, Incarnation, Tokens, Version};
+use crate::{BudgetId, GrantId, Incarnation, Offset, Tokens, Version};
 
 /// An identifier made by one process, as it stands in a record.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
@@ -105,6 +105,9 @@
     /// The amount asked for.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// The offset up to which the author had read the `members` stream.
+    #[prost(uint64, tag = "4")]
+    pub members_seen: u64,
 }
 
 /// Closes a grant.
@@ -161,12 +164,34 @@
             budget,
             grant: grant.into(),
             tokens: tokens.0,
+            members_seen: 0,
         };
         Self {
             entry: Some(LedgerEntry::Draw(record)),
         }
     }
 
+    /// Adds to a draw up to where its author had read the `members` stream.
+    ///
+    /// Whoever left before can hold nothing of the grant, which matters once it is to be reclaimed.
+    #[must_use]
+    pub fn seen(mut self, members_seen: Offset) -> Self {
+        if let Some(LedgerEntry::Draw(record)) = &mut self.entry {
+            record.members_seen = members_seen.0;
+        }
+        self
+    }
+
+    /// Returns the grant that a record closes.
+    pub(crate) fn closed_grant(&self) -> Option<GrantId> {
+        match &self.entry {
+            Some(LedgerEntry::Return(record) | LedgerEntry::Reclaim(record)) => {
+                Some(record.grant.into())
+            }
+            _ => None,
+        }
+    }
+
     /// Makes a record by which the holder of a grant closes it.
     pub fn close(grant: GrantId, unspent: Tokens) -> Self {
         let record = CloseRecord {
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -136,6 +136,8 @@
 mod rate;
 mod reclaim;
 mod reclaim_task;
+mod reclaim_words;
+mod reclaims;
 mod refusal;
 mod rendezvous;
 mod replay;
@@ -219,7 +221,7 @@
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use logging::{start_logging, wall_clock_ms};
 pub use members::{
-    Fence, FenceDone, FenceTarget, FencedAt, Join, JoinedAt, KeyEpoch, Leave, Members,
+    Fence, FenceDone, FenceTarget, FencedAt, GoneRouter, Join, JoinedAt, KeyEpoch, Leave, Members,
     MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash,
 };
 pub use order::{
--- a/crates/mallowpath/src/members.rs
+++ b/crates/mallowpath/src/members.rs
@@ -8,10 +8,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::Xxh3;
 
-/// A sidecar announces itself before it serves.
+/// A sidecar or router announces itself before it serves.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Join {
-    /// The incarnation of the sidecar.
+    /// The incarnation of the process.
     #[prost(fixed64, tag = "1")]
     pub incarnation: u64,
     /// The name of its host, whose slot holds one process at a time.
@@ -23,13 +23,16 @@
     /// Its availability zone.
     #[prost(string, tag = "4")]
     pub zone: String,
-    /// The service of the backend server beside it.
+    /// The service of the backend server beside a sidecar.
     #[prost(string, tag = "5")]
     pub service: String,
     /// The latest incarnation on the same host that the sidecar has read, 0 for none. It keeps a
     /// delayed join of a dead process from displacing the live one.
     #[prost(fixed64, tag = "6")]
     pub previous: u64,
+    /// Whether the process is a router.
+    #[prost(bool, tag = "7")]
+    pub router: bool,
 }
 
 /// An epoch of a key shard.
@@ -76,15 +79,15 @@
     pub confirmed_hash: u64,
 }
 
-/// A sidecar runs nothing and never will again.
+/// A sidecar runs nothing, or a router spends nothing, and never will again.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Leave {
-    /// The sidecar, which writes this record itself.
+    /// The process, which writes this record itself.
     #[prost(fixed64, tag = "1")]
     pub incarnation: u64,
 }
 
-/// A live sidecar in a checkpoint.
+/// A live process in a checkpoint.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct JoinedAt {
     /// The offset of the join.
@@ -115,7 +118,7 @@
     /// The first offset that the state does not cover.
     #[prost(uint64, tag = "1")]
     pub next_offset: u64,
-    /// The live sidecars.
+    /// The live processes.
     #[prost(message, repeated, tag = "2")]
     pub joined: Vec<JoinedAt>,
     /// The latest incarnation of each host, live or gone.
@@ -124,6 +127,29 @@
     /// All fences.
     #[prost(message, repeated, tag = "4")]
     pub fences: Vec<FencedAt>,
+    /// Routers that are gone.
+    #[prost(message, repeated, tag = "5")]
+    pub gone_routers: Vec<GoneRouter>,
+    /// Routers that went below this offset are forgotten.
+    #[prost(uint64, tag = "6")]
+    pub forgotten_below: u64,
+    /// The offset at which the last sidecar went.
+    #[prost(uint64, optional, tag = "7")]
+    pub sidecar_gone_at: Option<u64>,
+}
+
+/// A router that is gone, in a checkpoint.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct GoneRouter {
+    /// Its incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// The offset of its join.
+    #[prost(uint64, tag = "2")]
+    pub joined: u64,
+    /// The offset at which it went.
+    #[prost(uint64, tag = "3")]
+    pub left: u64,
 }
 
 /// A record of the `members` stream.
@@ -161,8 +187,15 @@
     live: BTreeMap<Incarnation, (Offset, Join)>,
     latest: BTreeMap<String, Incarnation>,
     fences: BTreeMap<FenceTarget, FenceState>,
+    /// Routers that are gone, by the offsets at which they went.
+    gone_routers: BTreeMap<Offset, GoneRouter>,
+    forgotten_below: Offset,
+    sidecar_gone_at: Option<Offset>,
 }
 
+/// How many routers that are gone are remembered.
+const MAX_GONE_ROUTERS: usize = 4096;
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct FenceState {
     offset: Offset,
@@ -176,6 +209,11 @@
             next: Offset(checkpoint.next_offset),
             ..Self::default()
         };
+        members.forgotten_below = Offset(checkpoint.forgotten_below);
+        members.sidecar_gone_at = checkpoint.sidecar_gone_at.map(Offset);
+        for gone in &checkpoint.gone_routers {
+            members.gone_routers.insert(Offset(gone.left), *gone);
+        }
         for joined in &checkpoint.joined {
             let Some(join) = &joined.join else { continue };
             let entry = (Offset(joined.offset), join.clone());
@@ -202,6 +240,9 @@
     pub fn checkpoint(&self) -> MembersCheckpoint {
         let mut checkpoint = MembersCheckpoint {
             next_offset: self.next.0,
+            gone_routers: self.gone_routers.values().copied().collect(),
+            forgotten_below: self.forgotten_below.0,
+            sidecar_gone_at: self.sidecar_gone_at.map(|offset| offset.0),
             ..MembersCheckpoint::default()
         };
         for (offset, join) in self.live.values() {
@@ -237,7 +278,7 @@
             Some(MembersChange::Fence(fence)) => self.fence(offset, fence),
             Some(MembersChange::FenceDone(done)) => self.fence_done(offset, done),
             Some(MembersChange::Leave(leave)) => {
-                self.live.remove(&Incarnation(leave.incarnation)).is_some()
+                self.remove(offset, Incarnation(leave.incarnation))
             }
             Some(MembersChange::Checkpoint(_)) | None => false,
         };
@@ -255,7 +296,47 @@
 
     /// Returns the live sidecars.
     pub fn sidecars(&self) -> impl Iterator<Item = &Join> {
-        self.live.values().map(|(_, join)| join)
+        let joins = self.live.values().map(|(_, join)| join);
+        joins.filter(|join| !join.router)
+    }
+
+    /// Returns the live routers.
+    pub fn routers(&self) -> impl Iterator<Item = &Join> {
+        let joins = self.live.values().map(|(_, join)| join);
+        joins.filter(|join| join.router)
+    }
+
+    /// Returns the routers that are gone and not forgotten.
+    pub fn gone_routers(&self) -> impl Iterator<Item = Incarnation> + '_ {
+        let gone = self.gone_routers.values();
+        gone.map(|gone| Incarnation(gone.incarnation))
+    }
+
+    /// Returns the routers that may hold slices of a grant whose keeper had read the records below
+    /// `seen` when it drew it, and was fenced at `fence`; nothing when some are forgotten.
+    ///
+    /// A keeper gives slices only to routers that are live in the prefix that it has read.
+    pub fn holders(&self, seen: Offset, fence: Offset) -> Option<BTreeSet<Incarnation>> {
+        if seen < self.forgotten_below {
+            return None;
+        }
+        let mut holders = BTreeSet::new();
+        for (incarnation, (joined, join)) in &self.live {
+            if join.router && *joined < fence {
+                holders.insert(*incarnation);
+            }
+        }
+        for gone in self.gone_routers.range(seen..).map(|(_, gone)| gone) {
+            if gone.joined < fence.0 {
+                holders.insert(Incarnation(gone.incarnation));
+            }
+        }
+        Some(holders)
+    }
+
+    /// Returns the offset at which the last sidecar went, and with it what it had billed.
+    pub fn sidecar_gone_at(&self) -> Option<Offset> {
+        self.sidecar_gone_at
     }
 
     /// Returns whether an incarnation has joined and is not gone.
@@ -290,8 +371,8 @@
     /// one process.
     pub fn must_confirm(&self, fence: Offset) -> BTreeSet<Incarnation> {
         let mut sidecars = BTreeSet::new();
-        for (incarnation, (joined, _)) in &self.live {
-            if *joined < fence {
+        for (incarnation, (joined, join)) in &self.live {
+            if !join.router && *joined < fence {
                 sidecars.insert(*incarnation);
             }
         }
@@ -307,12 +388,34 @@
         if latest.0 != join.previous {
             return false;
         }
-        self.live.remove(&latest);
+        self.remove(offset, latest);
         self.latest.insert(join.name.clone(), incarnation);
         self.live.insert(incarnation, (offset, join.clone()));
         true
     }
 
+    fn remove(&mut self, offset: Offset, incarnation: Incarnation) -> bool {
+        let Some((joined, join)) = self.live.remove(&incarnation) else {
+            return false;
+        };
+        if !join.router {
+            self.sidecar_gone_at = Some(offset);
+            return true;
+        }
+        let gone = GoneRouter {
+            incarnation: incarnation.0,
+            joined: joined.0,
+            left: offset.0,
+        };
+        self.gone_routers.insert(offset, gone);
+        if self.gone_routers.len() > MAX_GONE_ROUTERS
+            && let Some((forgotten, _)) = self.gone_routers.pop_first()
+        {
+            self.forgotten_below = Offset(forgotten.0 + 1);
+        }
+        true
+    }
+
     fn fence(&mut self, offset: Offset, fence: &Fence) -> bool {
         let Some(target) = fence.target else {
             return false;
--- a/crates/mallowpath/src/members_task.rs
+++ b/crates/mallowpath/src/members_task.rs
@@ -8,19 +8,23 @@
     id::{Incarnation, Offset},
     link::now_ms,
     log_client::{LogClient, LogRecord},
-    members::{FenceTarget, Members, MembersChange, MembersCheckpoint, MembersRecord},
+    members::{FenceTarget, Join, Members, MembersChange, MembersCheckpoint, MembersRecord},
 };
 use prost::Message;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::timeout};
 
 /// The name of the stream of joins, leaves and fences.
 pub(crate) const MEMBERS_STREAM: &str = "members";
 
+/// How long an own join may take to show up before it is appended again.
+const JOIN_MS: u64 = 1000;
+
 /// The replayed `members` stream of a router.
 #[derive(Debug)]
 pub(crate) struct MembersTask {
@@ -36,8 +40,10 @@
 pub(crate) enum MembersEvent {
     /// A fence stands in the stream.
     Fenced(FenceTarget),
-    /// A sidecar is gone, and with it what it knew of spent slices.
-    SidecarGone,
+    /// A router left, or another one took its place on its host.
+    RouterGone(Incarnation),
+    /// All events below this offset were told.
+    Read(Offset),
 }
 
 /// Replays the stream to its end and returns the state with a follower behind it.
@@ -71,6 +77,11 @@
     Ok((members, follower))
 }
 
+fn is_router(members: &Members, incarnation: Incarnation) -> bool {
+    let mut routers = members.routers();
+    routers.any(|join| join.incarnation == incarnation.0)
+}
+
 /// Decodes a record; bytes of another kind are a record that says nothing.
 pub(crate) fn read(record: &LogRecord) -> MembersRecord {
     MembersRecord::decode(record.data.clone()).unwrap_or_default()
@@ -107,12 +118,41 @@
         }
     }
 
-    /// Returns every fence of the replayed prefix.
-    pub(crate) fn fenced(&self) -> Vec<FenceTarget> {
-        self.with(|members| members.fenced().collect())
+    /// Returns the routers that are fenced or gone.
+    pub(crate) fn refused_routers(&self) -> BTreeSet<Incarnation> {
+        let refused = self.with(|members| {
+            let mut refused: BTreeSet<Incarnation> = members.gone_routers().collect();
+            for target in members.fenced() {
+                if let FenceTarget::Router(router) = target {
+                    refused.insert(Incarnation(router));
+                }
+            }
+            refused
+        });
+        refused.unwrap_or_default()
+    }
+
+    /// Returns whether a process has joined and is not gone, as far as the stream was read.
+    pub(crate) fn is_live(&self, incarnation: Incarnation) -> bool {
+        self.with(|members| members.is_live(incarnation))
             .unwrap_or_default()
     }
 
+    /// Returns the offset up to which the stream was read.
+    pub(crate) fn next_offset(&self) -> Offset {
+        self.with(Members::next_offset).unwrap_or_default()
+    }
+
+    /// Returns the address of a live router, or nothing in it.
+    pub(crate) fn router_address(&self, router: Incarnation) -> String {
+        let address = self.with(|members| {
+            let mut routers = members.routers();
+            let join = routers.find(|join| join.incarnation == router.0);
+            join.map(|join| join.address.clone()).unwrap_or_default()
+        });
+        address.unwrap_or_default()
+    }
+
     /// Returns the offset of the fence of a router.
     pub(crate) fn fence_offset(&self, router: Incarnation) -> Option<Offset> {
         self.with(|members| members.fence_offset(FenceTarget::Router(router.0)))?
@@ -133,12 +173,40 @@
         })
     }
 
+    /// Joins as a router; until the join is seen, the router takes no tokens.
+    pub(crate) async fn join_router(&self, mut join: Join) {
+        let me = Incarnation(join.incarnation);
+        loop {
+            let changed = self.changed.notified();
+            if self.is_live(me) {
+                return;
+            }
+            let previous = self.with(|members| members.latest_on(&join.name));
+            if let Some(previous) = previous {
+                join.previous = previous.0;
+                let record = MembersRecord::from(MembersChange::Join(join.clone()));
+                let data = record.encode_to_vec().into();
+                if let Err(error) = self.log.append(MEMBERS_STREAM, data).await {
+                    log::warn!("waiting for the log service before taking tokens: {error}");
+                }
+            }
+            // Told of other records too; a copy of the join is void.
+            if timeout(Duration::from_millis(JOIN_MS), changed)
+                .await
+                .is_err()
+            {
+                log::info!("the join is not in the log yet");
+            }
+        }
+    }
+
     /// Describes the state for a dump.
     pub(crate) fn dump(&self) -> Value {
         let described = self.with(|members| {
             json!({
                 "next": members.next_offset(),
                 "sidecars": members.sidecars().count(),
+                "routers": members.routers().count(),
                 "fences": members.fenced().count(),
             })
         });
@@ -147,7 +215,7 @@
 
     /// Follows the stream for the life of the process; `act` is told of each event in order.
     ///
-    /// After a start from the log, `act` hears of all fences, and that sidecars may be gone.
+    /// After a start from the log, `act` hears of all fences and of all routers that are gone.
     pub(crate) async fn follow(&self, act: impl Fn(MembersEvent)) {
         let mut failures = 0;
         loop {
@@ -155,12 +223,16 @@
                 Ok((members, follower)) => {
                     failures = 0;
                     let fenced: Vec<FenceTarget> = members.fenced().collect();
+                    let gone: Vec<Incarnation> = members.gone_routers().collect();
                     *self.members() = Some(members);
                     self.changed.notify_waiters();
-                    act(MembersEvent::SidecarGone);
+                    for router in gone {
+                        act(MembersEvent::RouterGone(router));
+                    }
                     for target in fenced {
                         act(MembersEvent::Fenced(target));
                     }
+                    act(MembersEvent::Read(self.next_offset()));
                     self.follow_from(follower, &act).await;
                 }
                 Err(error) => {
@@ -181,9 +253,10 @@
                 if let Some(checkpoint) = checkpoint_in(&record) {
                     pace.covered(Offset(checkpoint.next_offset));
                 }
-                for event in self.replay(&record) {
+                if let Some(event) = self.replay(&record) {
                     act(event);
                 }
+                act(MembersEvent::Read(Offset(record.offset.0 + 1)));
             });
             match step.await {
                 Ok(()) => failures = 0,
@@ -202,31 +275,27 @@
         }
     }
 
-    fn replay(&self, record: &LogRecord) -> Vec<MembersEvent> {
-        let mut events = Vec::new();
+    /// Applies a record and returns what has to be acted on.
+    fn replay(&self, record: &LogRecord) -> Option<MembersEvent> {
         let decoded = read(record);
-        {
-            let mut state = self.members();
-            let Some(members) = state.as_mut() else {
-                return events;
-            };
-            let gone = match &decoded.change {
-                Some(MembersChange::Join(join)) => members.is_live(members.latest_on(&join.name)),
-                Some(MembersChange::Leave(_)) => true,
-                _ => false,
-            };
-            if members.apply(record.offset, &decoded) != ClaimVerdict::Valid {
-                return events;
-            }
-            if gone {
-                events.push(MembersEvent::SidecarGone);
-            }
-        }
-        if let Some(MembersChange::Fence(fence)) = &decoded.change {
-            events.extend(fence.target.map(MembersEvent::Fenced));
+        let mut state = self.members();
+        let members = state.as_mut()?;
+        let leaves = match &decoded.change {
+            Some(MembersChange::Join(join)) => Some(members.latest_on(&join.name)),
+            Some(MembersChange::Leave(leave)) => Some(Incarnation(leave.incarnation)),
+            _ => None,
+        };
+        let gone = leaves.filter(|incarnation| is_router(members, *incarnation));
+        let verdict = members.apply(record.offset, &decoded);
+        drop(state);
+        if verdict != ClaimVerdict::Valid {
+            return None;
         }
         self.changed.notify_waiters();
-        events
+        match &decoded.change {
+            Some(MembersChange::Fence(fence)) => fence.target.map(MembersEvent::Fenced),
+            _ => gone.map(MembersEvent::RouterGone),
+        }
     }
 
     async fn write_checkpoint(&self, pace: &mut CheckpointPace, first: Offset) {
@@ -248,7 +317,8 @@
         }
     }
 
-    fn with<T>(&self, read: impl FnOnce(&Members) -> T) -> Option<T> {
+    /// Runs a closure on the state, once there is one.
+    pub(crate) fn with<T>(&self, read: impl FnOnce(&Members) -> T) -> Option<T> {
         self.members().as_ref().map(read)
     }
 
--- /dev/null
+++ b/crates/mallowpath/src/reclaims.rs
@@ -0,0 +1,80 @@
+//! How far the reclaims of one process have come, for itself and for dumps.
+
+use crate::id::{GrantId, Incarnation, Tokens};
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+/// The reclaims of one process.
+#[derive(Debug, Default)]
+pub(crate) struct Reclaims {
+    progress: Mutex<BTreeMap<Incarnation, Progress>>,
+}
+
+/// How far the reclaim from one router has come.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Progress {
+    pub(crate) missing: BTreeSet<Incarnation>,
+    pub(crate) returned: Tokens,
+    /// Slices that stay out, as a sidecar that may have billed them is gone.
+    pub(crate) unproven: Tokens,
+    /// Grants that stay out for the like reason.
+    pub(crate) unproven_grants: BTreeSet<GrantId>,
+    pub(crate) done: bool,
+}
+
+impl Reclaims {
+    /// Describes the reclaims for a dump.
+    pub(crate) fn dump(&self) -> Value {
+        let mut described = serde_json::Map::new();
+        for (router, progress) in self.progress().iter() {
+            let entry = json!({
+                "missing": progress.missing,
+                "returned": progress.returned,
+                "unproven": progress.unproven,
+                "unproven_grants": progress.unproven_grants,
+                "done": progress.done,
+            });
+            described.insert(router.to_string(), entry);
+        }
+        Value::Object(described)
+    }
+
+    /// Notes that a reclaim begins; returns false when it goes on already.
+    pub(crate) fn begin(&self, router: Incarnation) -> bool {
+        let mut progress = self.progress();
+        let known = progress.get_mut(&router);
+        if known.as_ref().is_some_and(|known| !known.done) {
+            return false;
+        }
+        match known {
+            Some(known) => known.done = false,
+            None => drop(progress.insert(router, Progress::default())),
+        }
+        true
+    }
+
+    pub(crate) fn note(&self, router: Incarnation, change: impl FnOnce(&mut Progress)) {
+        let mut progress = self.progress();
+        change(progress.entry(router).or_default());
+        let (mut missing, mut unproven) = (0, 0);
+        for progress in progress.values() {
+            missing += progress.missing.len();
+            unproven += progress.unproven.0;
+        }
+        metrics::gauge!("mallowpath_reclaim_missing_words").set(missing as f64);
+        metrics::gauge!("mallowpath_reclaim_unproven_tokens").set(unproven as f64);
+    }
+
+    pub(crate) fn is_unproven(&self, router: Incarnation, grant: GrantId) -> bool {
+        let progress = self.progress();
+        let known = progress.get(&router);
+        known.is_some_and(|known| known.unproven_grants.contains(&grant))
+    }
+
+    fn progress(&self) -> MutexGuard<'_, BTreeMap<Incarnation, Progress>> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -17,10 +17,11 @@
     job::Job,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
+    members::Join,
     members_task::MembersTask,
     order_task::OrderDesk,
     peers::{sidecar_addresses, witness_addresses},
-    reclaim_task::Reclaims,
+    reclaims::Reclaims,
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
@@ -28,6 +29,7 @@
     running::Running,
     seen::PeersSeen,
     settings::{HostSettings, RouterSettings},
+    sidecar_join::leave,
     wire::{Heartbeat, Hello},
 };
 use serde_json::{Value, json};
@@ -133,7 +135,7 @@
             }
         });
         let admin = serve_admin(router.settings.host.admin_listen, router.hooks()).await?;
-        router.spawn_tasks(callers, peers);
+        router.spawn_tasks(callers, peers, peers_address);
         let addresses = RouterAddresses {
             callers: callers_address,
             peers: peers_address,
@@ -143,7 +145,12 @@
         Ok((router, addresses))
     }
 
-    fn spawn_tasks(self: &Arc<Self>, callers: TcpListener, peers: TcpListener) {
+    fn spawn_tasks(
+        self: &Arc<Self>,
+        callers: TcpListener,
+        peers: TcpListener,
+        peers_address: SocketAddr,
+    ) {
         let app = front::routes(Arc::clone(self));
         let header_timeout_ms = self.settings.tuning.header_timeout_ms;
         let closing = self.closing.clone();
@@ -153,7 +160,7 @@
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
-        tokio::spawn(Arc::clone(self).follow_members());
+        tokio::spawn(Arc::clone(self).follow_members(peers_address));
         tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
         tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
     }
@@ -174,6 +181,7 @@
             router.running.idle().await;
             crate::bills::settle_all(&router).await;
             crate::budgets::return_all(&router).await;
+            leave(&router.log, router.incarnation).await;
             tokio::time::sleep(Duration::from_millis(LAST_BYTES_MS)).await;
             log::info!("drained");
             router.ended.cancel();
@@ -335,7 +343,6 @@
     async fn watch_peer(&self, link: Arc<Link>) {
         let peer = link.peer_incarnation();
         self.peers_seen.opened(peer);
-        self.reclaims.met(link.peer());
         link.closed().await;
         self.peers_seen.closed(peer);
         tokio::time::sleep(Duration::from_millis(self.settings.timing.lost_router_ms)).await;
@@ -344,10 +351,23 @@
         }
     }
 
-    async fn follow_members(self: Arc<Self>) {
+    async fn follow_members(self: Arc<Self>, address: SocketAddr) {
+        let joining = Arc::clone(&self);
+        tokio::spawn(async move { joining.members.join_router(joining.join(address)).await });
         self.members.follow(|event| self.members_event(event)).await;
     }
 
+    fn join(&self, address: SocketAddr) -> Join {
+        Join {
+            incarnation: self.incarnation.0,
+            name: self.settings.host.name.to_string(),
+            address: address.to_string(),
+            zone: self.settings.host.zone.to_string(),
+            router: true,
+            ..Join::default()
+        }
+    }
+
     /// Returns whether a peer has a connection that it opened.
     pub(crate) fn is_open(&self, peer: Incarnation) -> bool {
         self.peers_seen.is_open(peer)
--- a/crates/mallowpath/src/router_calls.rs
+++ b/crates/mallowpath/src/router_calls.rs
@@ -1,7 +1,7 @@
 //! Calls that other routers and sidecars open to a router.
 
 use crate::{
-    id::Offset,
+    id::{Incarnation, Offset},
     link::Responder,
     router::Router,
     wire::{Body, CallFailed, Done},
@@ -36,6 +36,16 @@
         Body::FetchConfig(fetch) => {
             Body::ConfigRecords(router.configuration.records(Offset(fetch.from)))
         }
+        Body::ReportKeepers(asked) => {
+            match router.budgets.report_keepers(Incarnation(asked.router)) {
+                Some(report) => Body::KeepersReport(report),
+                None => failed("not_fenced_here"),
+            }
+        }
+        Body::KeepersClosed(closed) => {
+            router.budgets.forget_keepers(&closed.keepers);
+            Body::Done(Done {})
+        }
         other => {
             log::warn!(
                 "{} sent a call that a router does not serve",
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -197,6 +197,7 @@
             zone: place.zone.to_string(),
             service: self.settings.service.to_string(),
             previous: 0,
+            router: false,
         };
         let fenced = join(&self.log, announced).await;
         {
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -18,7 +18,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42"
     )]
     pub body: Option<Body>,
 }
@@ -101,6 +101,15 @@
     /// Router to sidecar: stop a request; answered by its [`End`].
     #[prost(message, tag = "26")]
     Stop(Stop),
+    /// Router to router: what did you spend of the grants of a fenced router's keepers?
+    #[prost(message, tag = "40")]
+    ReportKeepers(ReportKeepers),
+    /// The answer to [`ReportKeepers`].
+    #[prost(message, tag = "41")]
+    KeepersReport(KeepersReport),
+    /// Router to router: these keepers have no open grant any more.
+    #[prost(message, tag = "42")]
+    KeepersClosed(KeepersClosed),
 }
 
 /// Identifies a process to its peer.
@@ -503,6 +512,44 @@
     pub billed: Vec<SlicePart>,
 }
 
+/// Asks a router what it spent of the grants of a fenced router's keepers.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ReportKeepers {
+    /// The incarnation of the fenced router.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+}
+
+/// What a router spent of the grants of a fenced router's keepers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeepersReport {
+    /// Whether nothing runs any more that may spend of them.
+    #[prost(bool, tag = "1")]
+    pub settled: bool,
+    /// What was spent of each grant.
+    #[prost(message, repeated, tag = "2")]
+    pub grants: Vec<GrantSum>,
+}
+
+/// Tokens of a grant.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct GrantSum {
+    /// The grant.
+    #[prost(message, required, tag = "1")]
+    pub grant: WireId,
+    /// The tokens.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Keepers that have no open grant any more.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeepersClosed {
+    /// Their incarnations.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keepers: Vec<u64>,
+}
+
 /// A call about idempotency keys, encoded by the key module.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct KeyCall {
--- a/crates/mallowpath/tests/members.rs
+++ b/crates/mallowpath/tests/members.rs
@@ -13,11 +13,16 @@
 use std::collections::BTreeSet;
 
 fn join(incarnation: u64, host: u64, previous: u64) -> MembersChange {
+    process(incarnation, host, previous, false)
+}
+
+fn process(incarnation: u64, host: u64, previous: u64, router: bool) -> MembersChange {
     let name = host.to_string();
     MembersChange::Join(Join {
         incarnation,
         name,
         previous,
+        router,
         ..Join::default()
     })
 }
@@ -54,7 +59,7 @@
 
 fn change(kind: u8, a: u64, b: u64, c: u64) -> MembersChange {
     match kind {
-        0..=4 => join(a, a % 3, c),
+        0..=4 => process(a, a % 3, c, b == 2),
         5 => fence(b),
         6 => done(b, &[]),
         7 => done(b, &[a, c]),
@@ -121,3 +126,25 @@
     assert_eq!(apply(&mut members, join(1, 1, 0)), ClaimVerdict::Void);
     assert!(members.must_confirm(Offset(2)).contains(&Incarnation(2)));
 }
+
+#[test]
+fn routers_that_went_after_a_grant_was_drawn_may_hold_slices_of_it() {
+    let mut members = Members::default();
+    for change in [
+        process(1, 1, 0, true),
+        process(2, 2, 0, true),
+        process(3, 1, 1, true),
+        MembersChange::Leave(Leave { incarnation: 2 }),
+        join(4, 4, 0),
+        fence(3),
+        process(5, 5, 0, true),
+    ] {
+        assert_eq!(apply(&mut members, change), ClaimVerdict::Valid);
+    }
+    let holders = |seen| members.holders(Offset(seen), Offset(5)).expect("all known");
+    assert_eq!(holders(0), [1, 2, 3].map(Incarnation).into());
+    assert_eq!(holders(3), [2, 3].map(Incarnation).into());
+    assert_eq!(holders(4), [3].map(Incarnation).into());
+    assert_eq!(members.must_confirm(Offset(5)), [4].map(Incarnation).into());
+    assert_eq!(members.sidecar_gone_at(), None);
+}
