--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -135,6 +135,11 @@
         matches!(self.answer, Answer::Whole { .. })
     }
 
+    /// Returns whether the request was refused with this code.
+    pub fn has_code(&self, expected: &str) -> bool {
+        matches!(&self.answer, Answer::Refused { code, .. } if code == expected)
+    }
+
     /// Returns whether the caller was told this outcome.
     pub fn has_outcome(&self, expected: &str) -> bool {
         matches!(&self.answer, Answer::Refused { outcome, .. } if outcome == expected)
--- a/crates/e2e/src/check.rs
+++ b/crates/e2e/src/check.rs
@@ -1,6 +1,6 @@
 //! Comparing what callers saw with what the log and the backend servers hold.
 
-use crate::{Answer, Call, CallKind, LogContent, Operation, call::MODEL};
+use crate::{Answer, Call, CallKind, Failure, LogContent, Operation, call::MODEL};
 use mallowpath::{BudgetId, GrantId, RequestId, Tokens};
 use mallowpath_standins::expected_text;
 use std::{
@@ -25,13 +25,16 @@
         self.faults.extend(other.faults);
     }
 
-    /// Panics unless nothing was found.
+    /// Returns an error that names every fault, if there is one.
     ///
-    /// # Panics
+    /// # Errors
     ///
-    /// Panics with every fault.
-    pub fn assert_clean(&self) {
-        assert!(self.faults.is_empty(), "{self}");
+    /// Fails when something was found.
+    pub fn into_result(self) -> Result<(), Failure> {
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        Err(self.to_string().into())
     }
 }
 
--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -7,10 +7,12 @@
     settings_file::SettingsFile,
 };
 use mallowpath::{
-    BudgetId, IniDocument, LogClient, LogClientSettings, PeerTiming, RequestId, Tokens, publish,
-    sections_of,
+    BudgetId, Incarnation, IniDocument, LEDGER_SHARDS, LedgerBatch, LedgerEntry, LedgerRecord,
+    LogClient, LogClientSettings, PeerTiming, RequestId, Tokens, TopUpRecord, ledger_stream,
+    publish, sections_of, shard_of,
 };
 use mallowpath_standins::{client, engine, host_list, log_service, plain_service};
+use prost::Message;
 use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
@@ -353,6 +355,85 @@
         }
     }
 
+    /// Waits until the log holds a bill for every request that ran, whoever asked for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log service can't be read or a bill stays away.
+    pub async fn all_runs_billed(&self, limit_ms: u64) -> Result<LogContent, Failure> {
+        let give_up = Instant::now() + Duration::from_millis(limit_ms);
+        loop {
+            let content = LogContent::read(&self.log_client()).await?;
+            let mut missing = Vec::new();
+            for request in self.runs().await.into_keys() {
+                if !content.bills.contains_key(&request) {
+                    missing.push(request.to_string());
+                }
+            }
+            if missing.is_empty() {
+                return Ok(content);
+            }
+            if Instant::now() >= give_up {
+                return Err(format!("ran and were never billed: {missing:?}").into());
+            }
+            sleep(Duration::from_millis(POLL_MS)).await;
+        }
+    }
+
+    /// Waits until every run is billed and compares what callers saw with the log and the backend
+    /// servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a bill stays away for `limit_ms` or a check finds something.
+    pub async fn verify(&self, history: &History, limit_ms: u64) -> Result<LogContent, Failure> {
+        let content = self.all_runs_billed(limit_ms).await?;
+        self.check(history, &content).await.into_result()?;
+        Ok(content)
+    }
+
+    /// Shuts every router down and checks that the ledger says what the bills say.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a router does not end in time, a grant stays out or the sums differ.
+    pub async fn verify_exact_after_drain(&mut self, limit_ms: u64) -> Result<(), Failure> {
+        self.drain_routers(limit_ms).await?;
+        let content = LogContent::read(&self.log_client()).await?;
+        let billed = content.billed(&self.budget());
+        let balance = content.ledgers.balance(&self.budget()).unwrap_or_default();
+        if balance.open != Tokens::ZERO || balance.spent != billed {
+            return Err(format!("{billed} billed, but the ledger has {balance:?}").into());
+        }
+        Ok(())
+    }
+
+    /// Adds tokens to the budget, as an operator does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log service does not take the top-up.
+    pub async fn top_up(&self, id: &str, tokens: Tokens) -> Result<(), Failure> {
+        let log = self.log_client();
+        let stream = ledger_stream(shard_of(&self.budget(), LEDGER_SHARDS));
+        let (_, next) = log.bounds(&stream).await?;
+        let top_up = TopUpRecord {
+            budget: BUDGET.to_owned(),
+            id: id.to_owned(),
+            tokens: tokens.0,
+            issued_at: next.0,
+        };
+        let batch = LedgerBatch {
+            author: Incarnation::random().0,
+            sequence: 1,
+            records: vec![LedgerRecord {
+                entry: Some(LedgerEntry::TopUp(top_up)),
+            }],
+        };
+        log.append(&stream, batch.encode_to_vec().into()).await?;
+        Ok(())
+    }
+
     /// Compares what callers saw with the log and the backend servers, by all checks.
     ///
     /// # Panics
--- a/crates/e2e/src/history.rs
+++ b/crates/e2e/src/history.rs
@@ -1,6 +1,6 @@
 //! What callers saw, in the order in which they knew it.
 
-use crate::{Answer, Call, Operation};
+use crate::{Call, Failure, Operation};
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -73,6 +73,38 @@
         })
     }
 
+    /// Starts callers that call their router again and again until the history is `until_ms` old.
+    ///
+    /// `make_call` gets the caller, numbered 10 apart from router to router, and the number of the
+    /// call.
+    pub fn spawn_callers(
+        &self,
+        routers: &[SocketAddr],
+        callers_per_router: u64,
+        until_ms: u64,
+        make_call: fn(u64, u64) -> Call,
+    ) -> Vec<JoinHandle<()>> {
+        let mut callers = Vec::new();
+        for (first, router) in (0..).step_by(10).zip(routers) {
+            for caller in first..first + callers_per_router {
+                let history = self.clone();
+                let router = *router;
+                callers.push(tokio::spawn(async move {
+                    for number in 0.. {
+                        if history.now_ms() >= until_ms {
+                            return;
+                        }
+                        let operation = history.call(router, make_call(caller, number)).await;
+                        if !operation.is_whole() {
+                            sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                        }
+                    }
+                }));
+            }
+        }
+        callers
+    }
+
     /// Returns every call that has ended.
     pub fn operations(&self) -> Vec<Operation> {
         self.lock().clone()
@@ -86,8 +118,8 @@
 
     /// Returns how many calls were refused with a code.
     pub fn refused_count(&self, wanted: &str) -> usize {
-        let is_wanted = |operation: &&Operation| matches!(&operation.answer, Answer::Refused { code, .. } if code == wanted);
-        self.lock().iter().filter(is_wanted).count()
+        let operations = self.lock();
+        operations.iter().filter(|o| o.has_code(wanted)).count()
     }
 
     /// Returns the time since the beginning.
@@ -102,6 +134,23 @@
     }
 }
 
+/// Waits for calls and returns them if every answer is whole.
+///
+/// # Errors
+///
+/// Fails with the first call whose answer is not whole.
+pub async fn expect_whole(calls: Vec<JoinHandle<Operation>>) -> Result<Vec<Operation>, Failure> {
+    let mut operations = Vec::with_capacity(calls.len());
+    for call in calls {
+        let operation = call.await?;
+        if !operation.is_whole() {
+            return Err(format!("not whole: {operation:?}").into());
+        }
+        operations.push(operation);
+    }
+    Ok(operations)
+}
+
 impl Default for History {
     fn default() -> Self {
         Self::new()
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -19,7 +19,7 @@
 pub use check::{Verdicts, check_answers, check_bills, check_budget, check_runs};
 pub use cluster::{Cluster, ClusterSettings, RouterProcess, SidecarProcess};
 pub use error::Failure;
-pub use history::History;
+pub use history::{History, expect_whole};
 pub use linear::{BudgetCounter, BudgetOperation, is_budget_linearizable};
 pub use log_content::{LedgerContent, LogContent};
 pub use network::{Forwarder, Network, Standin};
--- /dev/null
+++ b/crates/e2e/tests/sidecar_killed.rs
@@ -0,0 +1,89 @@
+//! Sidecars that die with requests running.
+
+use mallowpath_e2e::{Call, CallKind, Cluster, ClusterSettings, Failure, History, Operation};
+use mallowpath_standins::plain_service;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How long a caller may wait for its answer after the sidecar is gone.
+const TOLD_WITHIN_MS: u64 = 6_500;
+
+fn runs_of(operation: &Operation, runs: &[String]) -> bool {
+    operation
+        .request
+        .is_some_and(|request| runs.contains(&request.to_string()))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_ran_at_a_killed_sidecar_is_never_said_not_to_have_run() -> Result<(), Failure> {
+    let slow = plain_service::Settings {
+        delay_ms: 1_500,
+        ..plain_service::Settings::default()
+    };
+    let settings = ClusterSettings {
+        services: vec![("notices", slow)],
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start(settings).await?;
+    let routers = cluster.callers();
+    let history = History::new();
+    let mut calls = Vec::new();
+    for number in 0..8 {
+        let call = Call {
+            prompt: format!("invoice {number}"),
+            max_tokens: 120,
+            natural_tokens: 100,
+            ..Call::default()
+        };
+        calls.push(history.spawn(routers[number % 2], call));
+    }
+    for (number, router) in routers.iter().enumerate() {
+        let call = Call {
+            kind: CallKind::Plain("notices"),
+            prompt: format!("notice {number}"),
+            ..Call::default()
+        };
+        calls.push(history.spawn(*router, call));
+    }
+    sleep(Duration::from_millis(600)).await;
+    cluster.sidecars[0].process.kill();
+    cluster.sidecars[2].process.kill();
+    let killed_ms = history.now_ms();
+    let mut lost = 0;
+    for call in calls {
+        let operation = call.await?;
+        assert!(
+            operation.is_whole() || operation.has_outcome("unknown"),
+            "{operation:?}"
+        );
+        assert!(
+            operation.ended_ms < killed_ms + TOLD_WITHIN_MS,
+            "{operation:?}"
+        );
+        lost += usize::from(!operation.is_whole());
+    }
+    assert!(lost >= 3, "{lost} requests were at the killed sidecars");
+    // New work goes to the sidecar that is left; the service that has none says so.
+    for router in &routers {
+        let operation = history.call(*router, Call::default()).await;
+        assert!(operation.is_whole(), "{operation:?}");
+        let call = Call {
+            kind: CallKind::Plain("notices"),
+            ..Call::default()
+        };
+        let operation = history.call(*router, call).await;
+        assert!(operation.has_outcome("not_run"), "{operation:?}");
+    }
+    let content = cluster.settled(&history, 3_000).await?;
+    cluster.check(&history, &content).await.into_result()?;
+    let mut ran = Vec::new();
+    for request in cluster.runs().await.into_keys() {
+        ran.push(request.to_string());
+    }
+    for operation in history.operations() {
+        if operation.has_outcome("unknown") {
+            assert!(runs_of(&operation, &ran), "{operation:?} never started");
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/e2e/tests/silent_connection.rs
@@ -0,0 +1,45 @@
+//! Connections that go silent for good while new ones work.
+
+use mallowpath_e2e::{Call, CallKind, Cluster, ClusterSettings, Failure, History};
+use mallowpath_standins::forwarder::Mode;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The answers take this long without a fault.
+const ANSWER_MS: u64 = 1_600;
+/// Silence is found within the peer timeout, and the answer goes on at once.
+const FOUND_WITHIN_MS: u64 = 1_400;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_goes_on_over_a_new_connection() -> Result<(), Failure> {
+    let settings = ClusterSettings {
+        forward_links: true,
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start(settings).await?;
+    let history = History::new();
+    let mut calls = Vec::new();
+    for number in 0..8 {
+        let call = Call {
+            kind: [CallKind::Streamed, CallKind::Unstreamed][number % 2],
+            prompt: format!("layout {number}"),
+            max_tokens: 150,
+            natural_tokens: 110,
+        };
+        calls.push(history.spawn(cluster.callers()[0], call));
+    }
+    sleep(Duration::from_millis(500)).await;
+    for sidecar in &cluster.sidecars {
+        let way = cluster.network.between("router-0", &sidecar.name);
+        way.set_mode(Mode::StaleOld).await;
+    }
+    for call in calls {
+        let operation = call.await?;
+        assert!(operation.is_whole(), "{operation:?}");
+        let took_ms = operation.ended_ms - operation.started_ms;
+        assert!(took_ms < ANSWER_MS + FOUND_WITHIN_MS, "took {took_ms} ms");
+    }
+    cluster.verify(&history, 3_000).await?;
+    assert_eq!(cluster.runs().await.len(), 8);
+    Ok(())
+}
--- a/crates/e2e/tests/whole_path.rs
+++ b/crates/e2e/tests/whole_path.rs
@@ -1,8 +1,8 @@
 //! Requests of every kind over separate processes, without faults.
 
-use mallowpath::Tokens;
 use mallowpath_e2e::{
-    Call, CallKind, Cluster, ClusterSettings, Failure, History, LogContent, is_budget_linearizable,
+    Call, CallKind, Cluster, ClusterSettings, Failure, History, expect_whole,
+    is_budget_linearizable,
 };
 
 const CALLS_PER_KIND: u64 = 6;
@@ -29,23 +29,13 @@
             calls.push(history.spawn(router, call));
         }
     }
-    for call in calls {
-        let operation = call.await?;
-        assert!(operation.is_whole(), "{operation:?}");
-    }
+    expect_whole(calls).await?;
     let content = cluster.settled(&history, 3_000).await?;
-    cluster.check(&history, &content).await.assert_clean();
+    cluster.check(&history, &content).await.into_result()?;
     assert_eq!(content.bills.len() as u64, 3 * CALLS_PER_KIND);
     let operations = history.operations();
     assert!(is_budget_linearizable(&operations, &[(0, 1_000_000)]));
 
-    cluster.drain_routers(8_000).await?;
-    let content = LogContent::read(&cluster.log_client()).await?;
-    let balance = content
-        .ledgers
-        .balance(&cluster.budget())
-        .expect("a balance");
-    assert_eq!(balance.open, Tokens::ZERO, "every slice came back");
-    assert_eq!(balance.spent, content.billed(&cluster.budget()));
+    cluster.verify_exact_after_drain(8_000).await?;
     Ok(())
 }
