Admit, retry and eject in the router

Cause: the router ran every request at once, tried each backend server of a service on a failure, and never ejected one. The decision modules for all three were tested but not wired.

Change: `admission.rs` drives `Admission` and `RetryBudget` of each service. A request gets a permit before tokens are reserved; one that waits is told through a oneshot, expires within 20 ms of its last useful start, and is forgotten when its caller leaves. A permit is not held while tokens are awaited: 256 permits were held by requests that waited for slices, with 0 to 6 requests at the backend servers. Plain services have no load report, so their queueing delay is the time above a slowly rising floor. The concurrency limit grows by half a window until its first decrease. A try that reached no backend server (refused by its sidecar, or not sent) may go on to three others at no cost; any other second try asks the retry budget. A run that failed without cost and is not tried again is now closed with its bill; before, its number stayed open and held the watermark back. `Outliers` sets state and weight in the route table. The first token's forecast of prefill and load is fed back, and the token interval. A router connects to a rendezvous subset of each labelled service (`service` in the host list); unlabelled sidecars are all connected. A wallet asks for what all waiting requests need, and a keeper's draw covers it; one slice used to cover one request when the rate was not known yet. A plain service is no longer polled for its load twice a second: each poll was a run of the service (24 of 124 runs in a 3 s test).

Ruled out: reserving tokens before admission, which keeps tokens of requests that are refused, and a permit held while tokens are awaited (above).

Not done: cache events of engines do not reach the routers. Engines are given the priority, and the deadline only by cancellation.

--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -415,6 +415,7 @@
         availability_zone: zone.to_owned(),
         region: REGION.to_owned(),
         state: "live".to_owned(),
+        service: String::new(),
     }
 }
 
--- a/crates/embedded/src/site.rs
+++ b/crates/embedded/src/site.rs
@@ -7,6 +7,7 @@
 };
 use mallowpath_standins::{engine, host_list, log_service, plain_service};
 use std::{
+    collections::BTreeMap,
     error::Error,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
@@ -79,7 +80,7 @@
         };
         site.start_backends(&settings).await?;
         site.start_routers(&settings).await?;
-        site.wait_until_connected().await;
+        site.wait_until_connected(&settings).await;
         Ok(site)
     }
 
@@ -120,8 +121,12 @@
         };
         let zone = sidecar_settings.host.zone.to_string();
         let (sidecar, addresses) = Sidecar::start(sidecar_settings).await?;
-        self.register(&name, "sidecar", &zone, addresses.peers)
-            .await?;
+        let host = Self::host(&name, "sidecar", &zone, addresses.peers);
+        let labelled = host_list::Host {
+            service: service.to_owned(),
+            ..host
+        };
+        host_list::enter(self.hosts.address, &labelled).await?;
         self.sidecars.push(sidecar);
         Ok(())
     }
@@ -145,8 +150,8 @@
             };
             let zone = router_settings.host.zone.to_string();
             let (router, addresses) = Router::start(router_settings).await?;
-            self.register(&name, "router", &zone, addresses.peers)
-                .await?;
+            let host = Self::host(&name, "router", &zone, addresses.peers);
+            host_list::enter(self.hosts.address, &host).await?;
             self.routers.push((router, addresses));
         }
         Ok(())
@@ -169,32 +174,36 @@
         })
     }
 
-    /// Enters a host into the host list, as the platform does.
-    async fn register(
-        &self,
-        name: &str,
-        role: &str,
-        zone: &str,
-        address: SocketAddr,
-    ) -> Result<(), Box<dyn Error + Send + Sync>> {
-        let host = host_list::Host {
+    /// Describes a host as the platform enters it into the host list.
+    fn host(name: &str, role: &str, zone: &str, address: SocketAddr) -> host_list::Host {
+        host_list::Host {
             name: name.to_owned(),
             address,
             role: role.to_owned(),
             availability_zone: zone.to_owned(),
             region: "local".to_owned(),
             state: "live".to_owned(),
-        };
-        host_list::enter(self.hosts.address, &host).await?;
-        Ok(())
+            service: String::new(),
+        }
     }
 
-    /// Waits until every router has a connection to every sidecar.
-    async fn wait_until_connected(&self) {
+    /// Waits until every router has a connection to each sidecar of its subsets.
+    async fn wait_until_connected(&self, settings: &SiteSettings) {
+        let mut per_service: BTreeMap<&str, u64> = BTreeMap::new();
+        for (service, _) in &settings.engines {
+            *per_service.entry(service).or_default() += 1;
+        }
+        for (service, _) in &settings.services {
+            *per_service.entry(service).or_default() += 1;
+        }
+        let mut wanted = 0;
+        for count in per_service.values() {
+            wanted += *count.min(&settings.router_tuning.sidecars_per_service);
+        }
         for _ in 0..READY_TRIES {
             let mut connected = true;
             for (router, _) in &self.routers {
-                connected &= router.connected_backends() >= self.sidecars.len();
+                connected &= router.connected_backends() as u64 >= wanted;
             }
             if connected {
                 return;
--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -48,6 +48,36 @@
     keeper_places: Mutex<KeeperPlaces>,
 }
 
+/// The tokens of a budget can't be had at once.
+#[derive(Debug)]
+pub(crate) struct Shortage {
+    retry_after_ms: u64,
+}
+
+/// Counts a request that waits for tokens until it is dropped.
+struct WaitingTokens<'a> {
+    budgets: &'a Budgets,
+    budget: &'a BudgetId,
+    tokens: Tokens,
+}
+
+impl<'a> WaitingTokens<'a> {
+    fn start(budgets: &'a Budgets, budget: &'a BudgetId, tokens: Tokens) -> Self {
+        budgets.wallet().start_waiting(budget, tokens);
+        Self {
+            budgets,
+            budget,
+            tokens,
+        }
+    }
+}
+
+impl Drop for WaitingTokens<'_> {
+    fn drop(&mut self) {
+        self.budgets.wallet().stop_waiting(self.budget, self.tokens);
+    }
+}
+
 /// Where keepers are.
 #[derive(Debug, Default)]
 struct KeeperPlaces {
@@ -114,6 +144,27 @@
 }
 
 impl Router {
+    /// Sets tokens of a budget aside if that needs no waiting.
+    pub(crate) fn reserve_now(
+        &self,
+        budget: &BudgetId,
+        tokens: Tokens,
+    ) -> Result<Result<Reservation, Shortage>, Refusal> {
+        let outcome = self.budgets.wallet().reserve(budget, tokens, now_ms());
+        self.budgets.wanting.notify_one();
+        let retry_after_ms = match outcome {
+            ReserveOutcome::Reserved(reservation) => return Ok(Ok(reservation)),
+            ReserveOutcome::Exhausted => return Err(exhausted(budget, tokens)),
+            ReserveOutcome::Short { retry_after_ms } => retry_after_ms,
+            ReserveOutcome::UnknownBudget => WAIT_FOR_TOKENS_MS,
+            ReserveOutcome::Revoked => {
+                let text = "this router was fenced and is to be replaced";
+                return Err(Refusal::not_run(Code::ShuttingDown, text).after(ASK_MS));
+            }
+        };
+        Ok(Err(Shortage { retry_after_ms }))
+    }
+
     /// Sets tokens of a budget aside, waiting a little for them if need be.
     pub(crate) async fn reserve(
         &self,
@@ -122,26 +173,16 @@
         deadline: Instant,
     ) -> Result<Reservation, Refusal> {
         let give_up = deadline.min(Instant::now() + Duration::from_millis(WAIT_FOR_TOKENS_MS));
+        let _waiting = WaitingTokens::start(&self.budgets, budget, tokens);
         loop {
             let answered = self.budgets.answered.notified();
-            let outcome = self.budgets.wallet().reserve(budget, tokens, now_ms());
-            let retry_after_ms = match outcome {
-                ReserveOutcome::Reserved(reservation) => {
-                    self.budgets.wanting.notify_one();
-                    return Ok(reservation);
-                }
-                ReserveOutcome::Exhausted => return Err(exhausted(budget, tokens)),
-                ReserveOutcome::Short { retry_after_ms } => retry_after_ms,
-                ReserveOutcome::UnknownBudget => WAIT_FOR_TOKENS_MS,
-                ReserveOutcome::Revoked => {
-                    let text = "this router was fenced and is to be replaced";
-                    return Err(Refusal::not_run(Code::ShuttingDown, text).after(ASK_MS));
-                }
+            let shortage = match self.reserve_now(budget, tokens)? {
+                Ok(reservation) => return Ok(reservation),
+                Err(shortage) => shortage,
             };
-            self.budgets.wanting.notify_one();
             let left = give_up.saturating_duration_since(Instant::now());
             if timeout(left, answered).await.is_err() {
-                return Err(unavailable(budget, retry_after_ms));
+                return Err(unavailable(budget, shortage.retry_after_ms));
             }
         }
     }
--- a/crates/mallowpath/src/concurrency.rs
+++ b/crates/mallowpath/src/concurrency.rs
@@ -3,7 +3,8 @@
 //! It is additive increase, multiplicative decrease against a delay target. A gradient against the
 //! smallest delay seen was weighed: prompts differ too much in length for a common floor, and a
 //! standing queue raises the floor itself. Routers that share backends and follow the same target
-//! by this rule also converge to even shares.
+//! by this rule also converge to even shares. Until its first decrease the limit grows by a factor, so
+//! that a router that was just started soon carries its share.
 
 /// The settings of a [`ConcurrencyLimit`].
 #[derive(Debug, Clone)]
@@ -28,8 +29,13 @@
     window_end_ms: u64,
     delay_min_ms: Option<u64>,
     peak_in_flight: u32,
+    /// Whether it was never decreased.
+    starting: bool,
 }
 
+/// The growth of the limit before its first decrease.
+const START_GROWTH: f64 = 1.5;
+
 /// The share of the limit that a decrease keeps.
 const DECREASE: f64 = 0.85;
 
@@ -46,6 +52,7 @@
             window_end_ms: 0,
             delay_min_ms: None,
             peak_in_flight: 0,
+            starting: true,
         }
     }
 
@@ -80,8 +87,14 @@
             .is_some_and(|min| min > self.settings.target_delay_ms)
         {
             self.limit *= DECREASE;
+            self.starting = false;
         } else if f64::from(self.peak_in_flight) >= self.limit * USED_SHARE {
-            self.limit += 1.0;
+            let grown = if self.starting {
+                self.limit * START_GROWTH
+            } else {
+                0.0
+            };
+            self.limit = grown.max(self.limit + 1.0);
         }
         let (min, max) = (f64::from(self.settings.min), f64::from(self.settings.max));
         self.limit = self.limit.clamp(min, max);
--- a/crates/mallowpath/src/host_client.rs
+++ b/crates/mallowpath/src/host_client.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's host list.
 
 use crate::{
-    Backoff, HostId, Region, Result, Zone,
+    Backoff, HostId, Region, Result, ServiceId, Zone,
     http_call::{Call, HttpCaller},
 };
 use bytes::Bytes;
@@ -43,6 +43,9 @@
     pub region: Region,
     /// Whether the host stays.
     pub state: HostState,
+    /// The service of the backend server beside a sidecar, where the platform labels it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
 }
 
 /// What the process on a host does.
--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -5,16 +5,19 @@
 //! given up gets its final answer at once.
 
 use crate::{
+    admission::{Ask, Permit},
     bill::{Bill, BillOutcome},
     chat::Usage,
     engine::end_code,
     fleet::{Service, ServiceKind, WhenUnconfirmed, Workspace},
     id::{BackendId, Incarnation, RequestId, Tokens},
     limbo,
-    link::{Call, Link, now_ms},
+    link::{Call, now_ms},
     refusal::{Code, Outcome, Refusal},
     reservation::Reservation,
     router::Router,
+    routes::{AttemptResult, Chosen, Forecast},
+    tries::{Failed, Tries, attempt_result},
     wire::{Attach, Body, Chunk, End, Head, SlicePart, Submit},
 };
 use bytes::Bytes;
@@ -97,35 +100,44 @@
     pub(crate) sidecar: Incarnation,
     pub(crate) sidecar_zone: Arc<str>,
     pub(crate) submitted_at_ms: u64,
+    pub(crate) forecast: Forecast,
     pub(crate) call: Call,
 }
 
 /// How an attempt ended.
-enum Ended {
+pub(crate) enum Ended {
     /// The sidecar said how.
     End(End),
-    /// It surely did not run; another backend server may be tried.
+    /// The backend server did not run it; another may be tried.
     NotRun(Refusal),
+    /// It did not reach the backend server; another may be tried.
+    Refused(Refusal),
     /// The sidecar can't be reached or was replaced.
     Lost,
 }
 
 /// Why a request has no end.
-enum NoEnd {
+pub(crate) enum NoEnd {
     /// It surely did not run and will not.
     NotRun(Refusal),
     /// Its sidecar was lost during this attempt.
-    Lost(Attempt),
+    Lost(Box<Attempt>),
 }
 
 /// What one request knows while its answer is handed on.
-struct Delivery {
+pub(crate) struct Delivery {
     out: mpsc::Sender<Output>,
     next_chunk: u64,
-    caller_left: bool,
+    pub(crate) caller_left: bool,
     submitted_at_ms: u64,
     /// Time to the first chunk of the current attempt.
     first_chunk_ms: Option<u64>,
+    /// Time to its last one.
+    last_chunk_ms: u64,
+    /// Chunks of the current attempt.
+    pub(crate) chunks: u64,
+    /// HTTP status of the current attempt.
+    pub(crate) status: u32,
 }
 
 impl Router {
@@ -158,21 +170,31 @@
         let deadline = Instant::now() + Duration::from_millis(job.service.timeout_ms);
         self.check_accepting(job)?;
         let tokens = Tokens(job.prompt_tokens + job.cap_tokens);
-        let reservation = self
-            .reserve(&job.workspace.budget, tokens, deadline)
-            .await?;
+        let ask = Ask {
+            service: &job.service,
+            workspace: &job.workspace,
+            tokens: tokens.0,
+            deadline_ms: now_ms() + job.service.timeout_ms,
+        };
+        let (permit, reservation) = self.admit(ask, deadline, out).await?;
         let mut delivery = Delivery {
             out: out.clone(),
             next_chunk: 0,
             caller_left: false,
             submitted_at_ms: 0,
             first_chunk_ms: None,
+            last_chunk_ms: 0,
+            chunks: 0,
+            status: 0,
         };
         match self
             .run_reserved(job, &reservation, deadline, &mut delivery)
             .await
         {
-            Ok((attempt, end)) => self.close(job, reservation, &attempt, &end).await,
+            Ok((attempt, end)) => {
+                permit.finish(end.prompt_tokens + end.completion_tokens, end.whole);
+                self.close(job, reservation, &attempt, &end).await
+            }
             Err(NoEnd::NotRun(refusal)) => {
                 self.settle(reservation, Tokens::ZERO);
                 Err(refusal)
@@ -188,6 +210,32 @@
         }
     }
 
+    /// Gets a request its permit and its tokens.
+    ///
+    /// A permit is not held while tokens are awaited: it would take a place from other workspaces.
+    async fn admit(
+        &self,
+        ask: Ask<'_>,
+        deadline: Instant,
+        out: &mpsc::Sender<Output>,
+    ) -> Result<(Permit, Reservation), Refusal> {
+        let budget = &ask.workspace.budget;
+        let tokens = Tokens(ask.tokens);
+        let permit = self.admissions.enter(ask, out).await?;
+        if let Ok(reservation) = self.reserve_now(budget, tokens)? {
+            return Ok((permit, reservation));
+        }
+        drop(permit);
+        let reservation = self.reserve(budget, tokens, deadline).await?;
+        match self.admissions.enter(ask, out).await {
+            Ok(permit) => Ok((permit, reservation)),
+            Err(refusal) => {
+                self.settle(reservation, Tokens::ZERO);
+                Err(refusal)
+            }
+        }
+    }
+
     fn check_accepting(&self, job: &Job) -> Result<(), Refusal> {
         if self.is_draining() {
             let text = "this router is shutting down, ask another";
@@ -209,35 +257,49 @@
         deadline: Instant,
         delivery: &mut Delivery,
     ) -> Result<(Attempt, End), NoEnd> {
-        let mut tried = Vec::new();
-        let mut last = None;
+        let mut tries = Tries::default();
         loop {
-            let (backend, link) = match self.choose(job, &tried) {
+            let chosen = match self.choose(job, &tries.backends) {
                 Ok(chosen) => chosen,
-                Err(refusal) => return Err(NoEnd::NotRun(last.unwrap_or(refusal))),
+                Err(refusal) => return tries.give_up(refusal),
             };
-            tried.push(backend.clone());
+            tries.backends.push(chosen.backend.clone());
             let submit = self.submit_message(job, reservation, deadline);
-            let mut attempt = match self.submit(job, backend, &link, submit).await {
+            let mut attempt = match self.submit(job, chosen, submit).await {
                 Ok(attempt) => attempt,
                 Err(refusal) => {
-                    last = Some(refusal);
+                    tries.refused += 1;
+                    tries.last = Some(Failed::NotRun(refusal));
                     continue;
                 }
             };
-            delivery.submitted_at_ms = attempt.submitted_at_ms;
+            delivery.begin(attempt.submitted_at_ms);
             let ended = self.deliver(job, &mut attempt, deadline, delivery).await;
-            self.routes().ended(job, &attempt, delivery.first_chunk_ms);
+            let result = attempt_result(&ended, delivery);
+            self.routes()
+                .ended(job, &attempt, result, delivery.interval_ms());
+            if result == AttemptResult::Success {
+                self.admissions.succeeded(&job.service.id);
+            }
             match ended {
                 Ended::End(end) if job.repeatable && failed_without_cost(&end) => {
-                    last = Some(Refusal::ran(
-                        Code::BackendFailed,
-                        "the backend server failed",
-                    ));
+                    tries.reached += 1;
+                    tries.last = Some(Failed::Ran(attempt, end));
                 }
                 Ended::End(end) => return Ok((attempt, end)),
-                Ended::NotRun(refusal) => last = Some(refusal),
-                Ended::Lost => return Err(NoEnd::Lost(attempt)),
+                Ended::NotRun(refusal) => {
+                    tries.reached += 1;
+                    tries.last = Some(Failed::NotRun(refusal));
+                }
+                Ended::Refused(refusal) => {
+                    tries.refused += 1;
+                    tries.last = Some(Failed::NotRun(refusal));
+                }
+                Ended::Lost => return Err(NoEnd::Lost(Box::new(attempt))),
+            }
+            if !self.may_try_again(job, &tries, deadline).await {
+                let text = "the request was tried as often as it may";
+                return tries.give_up(Refusal::not_run(Code::NoBackend, text));
             }
         }
     }
@@ -274,10 +336,14 @@
     async fn submit(
         &self,
         job: &Job,
-        backend: BackendId,
-        link: &Arc<Link>,
+        chosen: Chosen,
         mut submit: Submit,
     ) -> Result<Attempt, Refusal> {
+        let Chosen {
+            backend,
+            link,
+            forecast,
+        } = chosen;
         submit.sidecar = link.peer().incarnation;
         let submitted_at_ms = now_ms();
         let call = match link.open(Body::Submit(submit)).await {
@@ -295,6 +361,7 @@
             sidecar: link.peer_incarnation(),
             sidecar_zone: Arc::from(link.peer().zone.as_str()),
             submitted_at_ms,
+            forecast,
             call,
         })
     }
@@ -320,8 +387,14 @@
                 }
             };
             match next {
-                Ok(Some(Body::Head(head))) => delivery.send(Output::Head(head)).await,
+                Ok(Some(Body::Head(head))) => {
+                    delivery.status = head.status;
+                    delivery.send(Output::Head(head)).await;
+                }
                 Ok(Some(Body::Chunk(chunk))) => {
+                    if let Some(first_ms) = delivery.first_chunk(&chunk) {
+                        self.first_token(job, attempt, first_ms);
+                    }
                     if !delivery.take(chunk).await && !self.reattach(job, attempt, delivery).await {
                         return Ended::Lost;
                     }
@@ -334,7 +407,7 @@
                     attempt.call.finish();
                     let text = format!("the backend server refused: {}", refused.code);
                     let refusal = Refusal::not_run(Code::BackendRefused, text);
-                    return Ended::NotRun(refusal.after(refused.retry_after_ms));
+                    return Ended::Refused(refusal.after(refused.retry_after_ms));
                 }
                 Ok(Some(Body::CallFailed(failed))) => {
                     log::warn!(
@@ -356,6 +429,13 @@
         }
     }
 
+    fn first_token(&self, job: &Job, attempt: &Attempt, first_ms: u64) {
+        self.routes().first_token(job, attempt, first_ms);
+        let unqueued_ms = attempt.forecast.unqueued_ms;
+        self.admissions
+            .first_token(&job.service, first_ms, unqueued_ms);
+    }
+
     /// Attaches to the same run on a new connection.
     async fn reattach(&self, job: &Job, attempt: &mut Attempt, delivery: &Delivery) -> bool {
         metrics::counter!("mallowpath_reattach_total").increment(1);
@@ -396,7 +476,7 @@
             Ok(Body::End(end)) => ended(end),
             Ok(Body::Refused(_)) => {
                 let text = "the request's time was over before it ran";
-                Ended::NotRun(Refusal::not_run(Code::DeadlineExceeded, text))
+                Ended::Refused(Refusal::not_run(Code::DeadlineExceeded, text))
             }
             Ok(other) => {
                 log::warn!("{} answered a stop with {other:?}", attempt.address);
@@ -462,6 +542,33 @@
 }
 
 impl Delivery {
+    /// Begins an attempt that was submitted at `submitted_at_ms`.
+    fn begin(&mut self, submitted_at_ms: u64) {
+        self.submitted_at_ms = submitted_at_ms;
+        self.first_chunk_ms = None;
+        self.chunks = 0;
+        self.status = 0;
+    }
+
+    /// Returns the time to the first chunk of the attempt, when `chunk` is that one.
+    fn first_chunk(&mut self, chunk: &Chunk) -> Option<u64> {
+        if self.first_chunk_ms.is_some() || chunk.index != self.next_chunk {
+            return None;
+        }
+        self.first_chunk_ms = Some(now_ms().saturating_sub(self.submitted_at_ms));
+        self.first_chunk_ms
+    }
+
+    /// Returns the mean time between the chunks of the attempt.
+    fn interval_ms(&self) -> Option<f64> {
+        let first_ms = self.first_chunk_ms?;
+        if self.chunks < 2 {
+            return None;
+        }
+        let span_ms = self.last_chunk_ms.saturating_sub(first_ms);
+        Some(span_ms as f64 / (self.chunks - 1) as f64)
+    }
+
     /// Takes a chunk; returns false when one before it is missing.
     async fn take(&mut self, chunk: Chunk) -> bool {
         if chunk.index > self.next_chunk {
@@ -472,9 +579,8 @@
             return true;
         }
         self.next_chunk += 1;
-        if self.first_chunk_ms.is_none() {
-            self.first_chunk_ms = Some(now_ms().saturating_sub(self.submitted_at_ms));
-        }
+        self.chunks += 1;
+        self.last_chunk_ms = now_ms().saturating_sub(self.submitted_at_ms);
         self.send(Output::Data(chunk.data)).await;
         true
     }
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -214,7 +214,7 @@
             if balance.unspent() < request.reservation.max(needed) {
                 return SliceAnswer::Exhausted;
             }
-            self.draw(&request.budget, needed.saturating_sub(free), now_ms);
+            self.draw_for(request, free, now_ms);
             return SliceAnswer::Short {
                 retry_after_ms: self.outbox.wait_ms(&self.settings),
             };
@@ -242,12 +242,19 @@
         };
         let expected = account.rate.expected(now_ms);
         if account.free().0 < expected.0 / 2 {
-            self.draw(budget, Tokens::ZERO, now_ms);
+            self.draw(budget, Tokens::ZERO, expected, now_ms);
         }
     }
 
+    /// Queues a draw for a request that `free` tokens do not cover.
+    fn draw_for(&mut self, request: &SliceRequest, free: Tokens, now_ms: u64) {
+        let needed = Tokens(request.needed.0.max(1)).saturating_sub(free);
+        let expected = request.expected.saturating_sub(free);
+        self.draw(&request.budget, needed, expected, now_ms);
+    }
+
     /// Queues a draw of what is needed or, if the shares allow, of a horizon's use.
-    fn draw(&mut self, budget: &BudgetId, needed: Tokens, now_ms: u64) {
+    fn draw(&mut self, budget: &BudgetId, needed: Tokens, expected: Tokens, now_ms: u64) {
         let Some(balance) = self.ledger.balance(budget) else {
             return;
         };
@@ -255,7 +262,7 @@
         if self.closing || account.draw.is_some() || balance.left() == Tokens::ZERO {
             return;
         }
-        let expected = account.rate.expected(now_ms);
+        let expected = account.rate.expected(now_ms).max(expected);
         let tokens = self.settings.size(expected, balance.left()).max(needed);
         if tokens == Tokens::ZERO {
             return;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -66,6 +66,7 @@
 //! whose [`Outcome`] says whether their request ran.
 
 mod admin;
+mod admission;
 mod audit;
 mod backend;
 mod backoff;
@@ -150,6 +151,7 @@
 mod signal;
 mod slice;
 mod slice_wire;
+mod tries;
 mod verdict;
 mod wallet;
 mod wallet_account;
--- a/crates/mallowpath/src/limit.rs
+++ b/crates/mallowpath/src/limit.rs
@@ -213,6 +213,12 @@
         self.tokens_per_ms.record(pace, now_ms);
     }
 
+    /// Ends a request that was admitted and did not run.
+    pub fn give_back(&mut self, workspace: &WorkspaceId, reserved_tokens: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.queue.end(workspace, reserved_tokens);
+    }
+
     /// Returns the queueing delay to expect behind this queue.
     fn backend_delay_ms(&self, now_ms: u64) -> u64 {
         whole(self.backend_delay_ms.at(now_ms))
--- a/crates/mallowpath/src/load_poll.rs
+++ b/crates/mallowpath/src/load_poll.rs
@@ -10,8 +10,9 @@
 use serde::Deserialize;
 use std::{sync::Arc, time::Duration};
 
-const POLL_MS: u64 = 500;
 const TIMEOUT_MS: u64 = 1000;
+/// Interval between reads of a server that has no load reports.
+const NO_REPORT_MS: u64 = 10_000;
 
 #[derive(Deserialize)]
 struct Report {
@@ -26,8 +27,9 @@
 /// Polls until the sidecar ends; a server without load reports is asked less often.
 pub(crate) async fn poll_load(sidecar: Arc<Sidecar>) {
     let caller = HttpCaller::new(sidecar.settings.backend_address, TIMEOUT_MS);
+    let mut pause_ms = sidecar.settings.tuning.load_poll_ms;
     loop {
-        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         let call = Call {
             step: "read the load",
             method: Method::GET,
@@ -39,8 +41,10 @@
             continue;
         };
         let Ok(report) = serde_json::from_slice::<Report>(&answer.body) else {
+            pause_ms = NO_REPORT_MS;
             continue;
         };
+        pause_ms = sidecar.settings.tuning.load_poll_ms;
         sidecar.set_load(Load {
             running: report.running,
             waiting: report.waiting,
--- a/crates/mallowpath/src/peers.rs
+++ b/crates/mallowpath/src/peers.rs
@@ -2,24 +2,67 @@
 
 use crate::{
     host_client::{HostEntry, HostList, HostRole, HostState},
-    id::Zone,
-    rendezvous::{Candidate, pick, pick_n, rendezvous_key},
+    id::{ServiceId, Zone},
+    rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset},
     settings::HostSettings,
 };
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 /// Routers in other zones that a router keeps connections to, for bills and configuration.
 const WITNESSES: usize = 2;
 
-/// Returns the sidecars that a router connects to.
-pub(crate) fn sidecar_addresses(place: &HostSettings, hosts: &HostList) -> Vec<SocketAddr> {
-    let mut addresses = Vec::new();
+/// The part of a subset that is kept for other zones: one in this many.
+const OTHER_ZONES_PART: usize = 5;
+
+/// Returns the sidecars that a router connects to: a bounded subset of each service.
+///
+/// Sidecars whose entry names no service count as one service, of which all are taken.
+pub(crate) fn sidecars<'a>(
+    place: &HostSettings,
+    hosts: &'a HostList,
+    per_service: u64,
+) -> Vec<&'a HostEntry> {
+    let mut services: BTreeMap<&ServiceId, Vec<&HostEntry>> = BTreeMap::new();
+    let mut chosen = Vec::new();
     for host in &hosts.hosts {
-        if host.role == HostRole::Sidecar && host.region == place.region {
-            addresses.push(host.address);
+        if host.role != HostRole::Sidecar {
+            continue;
+        }
+        match &host.service {
+            Some(service) => services.entry(service).or_default().push(host),
+            None if host.region == place.region => chosen.push(host),
+            None => {}
         }
     }
-    addresses
+    let size = usize::try_from(per_service).unwrap_or(usize::MAX);
+    let settings = SubsetSettings {
+        size,
+        other_zones_min: size / OTHER_ZONES_PART,
+    };
+    let router = HostPlace {
+        host: place.name.clone(),
+        zone: place.zone.clone(),
+        region: place.region.clone(),
+    };
+    for members in services.values() {
+        let places = places(members);
+        for index in subset(&router, &places, &settings) {
+            chosen.push(members[index]);
+        }
+    }
+    chosen
+}
+
+fn places(hosts: &[&HostEntry]) -> Vec<HostPlace> {
+    let mut places = Vec::with_capacity(hosts.len());
+    for host in hosts {
+        places.push(HostPlace {
+            host: host.name.clone(),
+            zone: host.zone.clone(),
+            region: host.region.clone(),
+        });
+    }
+    places
 }
 
 /// Returns the routers of other zones that keep this router's bills, best first.
--- a/crates/mallowpath/src/route.rs
+++ b/crates/mallowpath/src/route.rs
@@ -120,6 +120,11 @@
         &self.backends
     }
 
+    /// Returns all backends for changes of state and weight.
+    pub(crate) fn backends_mut(&mut self) -> &mut [Backend] {
+        &mut self.backends
+    }
+
     /// Returns the backend called `id`.
     pub fn get_mut(&mut self, id: &BackendId) -> Option<&mut Backend> {
         let index = self
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
+    admission::Admissions,
     bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
@@ -17,11 +18,11 @@
     job::Job,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
-    peers::{sidecar_addresses, witness_addresses},
+    peers::{sidecars, witness_addresses},
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
-    routes::Routes,
+    routes::{Chosen, Routes},
     running::Running,
     seen::PeersSeen,
     settings::{HostSettings, RouterSettings},
@@ -29,6 +30,7 @@
 };
 use serde_json::{Value, json};
 use std::{
+    collections::HashSet,
     fmt::{self, Display},
     net::SocketAddr,
     sync::{
@@ -53,6 +55,7 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) admissions: Arc<Admissions>,
     routes: Routes,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
@@ -114,6 +117,7 @@
                 configuration,
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
+                admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 peers_seen: PeersSeen::default(),
                 hosts,
@@ -144,6 +148,7 @@
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.admissions).expire());
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -217,7 +222,7 @@
         &self,
         job: &Job,
         tried: &[BackendId],
-    ) -> std::result::Result<(BackendId, Arc<Link>), Refusal> {
+    ) -> std::result::Result<Chosen, Refusal> {
         self.routes.choose(job, tried)
     }
 
@@ -238,6 +243,7 @@
             "config_version": self.config_version(),
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
+            "admission": self.admissions.dump(),
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
@@ -337,9 +343,16 @@
         };
         loop {
             let list = Arc::clone(&hosts.borrow_and_update());
-            let mut wanted = sidecar_addresses(&self.settings.host, &list);
+            let per_service = self.settings.tuning.sidecars_per_service;
+            let mut wanted = Vec::new();
+            let mut names = HashSet::new();
+            for sidecar in sidecars(&self.settings.host, &list, per_service) {
+                wanted.push(sidecar.address);
+                names.insert(&sidecar.name);
+            }
             wanted.extend(witness_addresses(&self.settings.host, &list));
             self.dialer.keep(&wanted, &up, &down);
+            self.routes.forget_unlisted(&names);
             if hosts.changed().await.is_err() {
                 return;
             }
--- a/crates/mallowpath/src/routes.rs
+++ b/crates/mallowpath/src/routes.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     backend::{Backend, BackendState, LoadReport},
+    eject::{EjectSettings, Outliers},
     id::{BackendId, HostId, ServiceId, Zone},
     job::{Attempt, Job},
     link::{Link, now_ms},
@@ -12,7 +13,7 @@
 use rand::random;
 use serde_json::{Value, json};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -28,6 +29,43 @@
 struct Service {
     table: RouteTable,
     links: HashMap<BackendId, Arc<Link>>,
+    outliers: Outliers,
+    eject: EjectSettings,
+    /// When the last backend server that was ejected has its full weight again.
+    steady_at_ms: u64,
+}
+
+/// A backend server chosen for a request, and what its time to the first token was judged by.
+#[derive(Debug)]
+pub(crate) struct Chosen {
+    /// The backend server.
+    pub(crate) backend: BackendId,
+    /// The connection to its sidecar.
+    pub(crate) link: Arc<Link>,
+    /// What the request is expected to meet there.
+    pub(crate) forecast: Forecast,
+}
+
+/// What a request was expected to meet at its backend server when that was chosen.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Forecast {
+    /// Time to process the prompt.
+    pub(crate) prefill_ms: f64,
+    /// Requests there.
+    pub(crate) load: f64,
+    /// Time to the first token apart from queueing.
+    pub(crate) unqueued_ms: f64,
+}
+
+/// What the end of an attempt says about its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptResult {
+    /// It answered.
+    Success,
+    /// It failed.
+    Failure,
+    /// Nothing: the caller left or the sidecar refused.
+    Neither,
 }
 
 impl Routes {
@@ -55,7 +93,11 @@
         let service = services.entry(service_id).or_insert_with(|| Service {
             table: RouteTable::new(self.zone.clone(), self.settings.clone()),
             links: HashMap::new(),
+            outliers: Outliers::new(EjectSettings::default()),
+            eject: EjectSettings::default(),
+            steady_at_ms: 0,
         });
+        service.outliers.insert(&backend_id);
         service
             .table
             .insert(Backend::new(backend_id.clone(), host, zone));
@@ -119,17 +161,30 @@
         });
     }
 
+    /// Forgets backend servers that are neither connected nor beside one of `hosts`.
+    pub(crate) fn forget_unlisted(&self, hosts: &HashSet<&HostId>) {
+        for service in self.services().values_mut() {
+            let mut gone = Vec::new();
+            for backend in service.table.backends() {
+                if !hosts.contains(&backend.sidecar) && !service.links.contains_key(&backend.id) {
+                    gone.push(backend.id.clone());
+                }
+            }
+            for id in gone {
+                service.table.remove(&id);
+                service.outliers.remove(&id);
+            }
+        }
+    }
+
     /// Chooses a backend server that was not tried yet.
-    pub(crate) fn choose(
-        &self,
-        job: &Job,
-        tried: &[BackendId],
-    ) -> Result<(BackendId, Arc<Link>), Refusal> {
+    pub(crate) fn choose(&self, job: &Job, tried: &[BackendId]) -> Result<Chosen, Refusal> {
         let now_ms = now_ms();
-        let services = self.services();
-        let Some(service) = services.get(&job.service.id) else {
+        let mut services = self.services();
+        let Some(service) = services.get_mut(&job.service.id) else {
             return Err(no_backend(job, self.settings.retry_after_ms));
         };
+        service.return_ejected(now_ms);
         let request = RouteRequest {
             prefix_hashes: &job.prefix_hashes,
             adapter: job.adapter.as_deref(),
@@ -142,10 +197,22 @@
             Ok(choice) => choice,
             Err(none) => return Err(no_backend(job, none.retry_after_ms)),
         };
-        match service.links.get(&choice.backend.id) {
-            Some(link) => Ok((choice.backend.id.clone(), Arc::clone(link))),
-            None => Err(no_backend(job, self.settings.retry_after_ms)),
+        let Some(link) = service.links.get(&choice.backend.id) else {
+            return Err(no_backend(job, self.settings.retry_after_ms));
+        };
+        let mut unqueued_ms = choice.prefill_ms + choice.backend.token_interval_ms(now_ms);
+        if !choice.backend.has_adapter(job.adapter.as_deref()) {
+            unqueued_ms += self.settings.adapter_load_ms;
         }
+        Ok(Chosen {
+            backend: choice.backend.id.clone(),
+            link: Arc::clone(link),
+            forecast: Forecast {
+                prefill_ms: choice.prefill_ms,
+                load: choice.load,
+                unqueued_ms,
+            },
+        })
     }
 
     /// Counts a request that was just submitted.
@@ -158,16 +225,40 @@
         });
     }
 
-    /// Counts the end of a request.
-    pub(crate) fn ended(&self, job: &Job, attempt: &Attempt, first_chunk_ms: Option<u64>) {
-        let now_ms = now_ms();
+    /// Takes in the time to the first part of an answer.
+    pub(crate) fn first_token(&self, job: &Job, attempt: &Attempt, first_ms: u64) {
+        let Forecast {
+            prefill_ms, load, ..
+        } = attempt.forecast;
         self.with(&job.service.id, &attempt.backend, |backend| {
-            if let Some(first_chunk_ms) = first_chunk_ms {
-                let load_before = backend.load(now_ms);
-                backend.first_token(first_chunk_ms, 0.0, load_before, now_ms);
+            backend.first_token(first_ms, prefill_ms, load, now_ms());
+        });
+    }
+
+    /// Counts the end of a request; `interval_ms` is the mean time between its tokens.
+    pub(crate) fn ended(
+        &self,
+        job: &Job,
+        attempt: &Attempt,
+        result: AttemptResult,
+        interval_ms: Option<f64>,
+    ) {
+        let now_ms = now_ms();
+        let mut services = self.services();
+        let Some(service) = services.get_mut(&job.service.id) else {
+            return;
+        };
+        if let Some(backend) = service.table.get_mut(&attempt.backend) {
+            if let Some(interval_ms) = interval_ms {
+                backend.token_interval(interval_ms, now_ms);
             }
             backend.ended(attempt.submitted_at_ms, now_ms);
-        });
+        }
+        match result {
+            AttemptResult::Success => service.outliers.success(&attempt.backend, now_ms),
+            AttemptResult::Failure => service.failed(&attempt.backend, now_ms),
+            AttemptResult::Neither => {}
+        }
     }
 
     /// Describes the tables for a dump.
@@ -183,6 +274,7 @@
                     "state": format!("{:?}", backend.state),
                     "own_in_flight": backend.own_in_flight(),
                     "load": backend.load(now_ms),
+                    "weight": backend.weight,
                     "connected": service.links.contains_key(&backend.id),
                 }));
             }
@@ -218,6 +310,41 @@
     }
 }
 
+impl Service {
+    fn failed(&mut self, id: &BackendId, now_ms: u64) {
+        let Some(until_ms) = self.outliers.failure(id, now_ms) else {
+            return;
+        };
+        metrics::counter!("mallowpath_ejections_total").increment(1);
+        log::warn!(
+            "backend server {id} fails, ejected for {} ms",
+            until_ms - now_ms
+        );
+        self.steady_at_ms = self.steady_at_ms.max(until_ms + self.eject.slow_start_ms);
+        if let Some(backend) = self.table.get_mut(id)
+            && backend.state == BackendState::Live
+        {
+            backend.state = BackendState::Ejected { until_ms };
+        }
+    }
+
+    /// Gives backend servers that return from an ejection the weight that is due.
+    fn return_ejected(&mut self, now_ms: u64) {
+        if self.steady_at_ms == 0 {
+            return;
+        }
+        if now_ms >= self.steady_at_ms {
+            self.steady_at_ms = 0;
+        }
+        for backend in self.table.backends_mut() {
+            backend.weight = self.outliers.weight(&backend.id, now_ms);
+            if matches!(backend.state, BackendState::Ejected { until_ms } if now_ms >= until_ms) {
+                backend.state = BackendState::Live;
+            }
+        }
+    }
+}
+
 fn names(link: &Link) -> Option<(ServiceId, BackendId)> {
     let peer = link.peer();
     Some((peer.service.parse().ok()?, peer.backend.parse().ok()?))
--- a/crates/mallowpath/src/wallet.rs
+++ b/crates/mallowpath/src/wallet.rs
@@ -107,6 +107,21 @@
         })
     }
 
+    /// Counts a request that waits for tokens until [`Wallet::stop_waiting`], so that the next slice
+    /// covers all that wait.
+    pub fn start_waiting(&mut self, budget: &BudgetId, tokens: Tokens) {
+        if let Some(account) = self.accounts.get_mut(budget) {
+            account.waiting = account.waiting.saturating_add(tokens);
+        }
+    }
+
+    /// Ends the wait of a request for tokens.
+    pub fn stop_waiting(&mut self, budget: &BudgetId, tokens: Tokens) {
+        if let Some(account) = self.accounts.get_mut(budget) {
+            account.waiting = account.waiting.saturating_sub(tokens);
+        }
+    }
+
     /// Frees what a request didn't spend and returns what it spent of each slice.
     ///
     /// A request never spends more than it reserved; the rest of a larger amount is dropped.
--- a/crates/mallowpath/src/wallet_account.rs
+++ b/crates/mallowpath/src/wallet_account.rs
@@ -15,6 +15,8 @@
     pub(crate) refusal: Option<Refusal>,
     pub(crate) rate: RateMeter,
     pub(crate) used_ms: u64,
+    /// Tokens for which requests wait.
+    pub(crate) waiting: Tokens,
 }
 
 #[derive(Debug)]
@@ -72,6 +74,7 @@
             refusal: None,
             rate: RateMeter::new(settings.horizon_ms, now_ms),
             used_ms: now_ms,
+            waiting: Tokens::ZERO,
         })
 }
 
@@ -106,7 +109,8 @@
             }
         }
         let needed = tokens.saturating_sub(free);
-        let expected = needed.max(self.rate.expected(now_ms));
+        let flowing = self.rate.expected(now_ms);
+        let expected = needed.max(flowing.saturating_add(self.waiting));
         let fresh = Wish {
             needed,
             expected,
--- a/crates/mallowpath/tests/host_client.rs
+++ b/crates/mallowpath/tests/host_client.rs
@@ -16,6 +16,7 @@
         availability_zone: "z1".to_owned(),
         region: "r1".to_owned(),
         state: state.to_owned(),
+        service: String::new(),
     }
 }
 
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -57,6 +57,9 @@
     pub region: String,
     /// `live` or `leaving`.
     pub state: String,
+    /// The service beside a sidecar, as a label of the host; may be empty.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub service: String,
 }
 
 #[derive(Debug)]
