--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -18,6 +18,7 @@
     job::Job,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
+    order_task::OrderDesk,
     peers::{sidecars, witness_addresses},
     refusal::Refusal,
     route::RouteSettings,
@@ -56,6 +57,7 @@
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
     pub(crate) admissions: Arc<Admissions>,
+    pub(crate) orders: OrderDesk,
     routes: Routes,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
@@ -119,6 +121,7 @@
                 bills: Bills::new(incarnation, &settings.tuning),
                 admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                orders: OrderDesk::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
                 draining: AtomicBool::new(false),
@@ -149,6 +152,7 @@
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
         tokio::spawn(Arc::clone(&self.admissions).expire());
+        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -247,6 +251,7 @@
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "orders": self.orders.dump(),
         })
     }
 
@@ -293,6 +298,7 @@
             self.bills.heard(link.peer_incarnation(), heartbeat);
         } else {
             self.routes.heard(link, heartbeat);
+            self.orders.heard(link, &heartbeat.ordered);
         }
     }
 
