Add an experiment program

Cause: policies had figures from models only. Programs find their siblings from target/release as well.

--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,325 @@
+//! A fleet of processes for an experiment.
+
+use mallowpath::{IniDocument, LogClient, LogClientSettings, Sections, publish, sections_of};
+use mallowpath_e2e::{Failure, Process, Program, Standin};
+use mallowpath_standins::{client, host_list};
+use serde_json::{Value, json};
+use std::{
+    fmt::Write,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// The key of every workspace is `key-` and its number.
+const REGION: &str = "local";
+const READY_MS: u64 = 30_000;
+const PAUSE_MS: u64 = 100;
+/// Budgets added by one change, so that its record stays below the log's limit.
+const BUDGETS_PER_CHANGE: usize = 5_000;
+
+/// What a fleet consists of.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Availability zones.
+    pub zones: usize,
+    /// Routers.
+    pub routers: usize,
+    /// Engines of the model `m`.
+    pub engines: usize,
+    /// Settings of each engine.
+    pub engine: Value,
+    /// Plain services `lookup`.
+    pub lookups: usize,
+    /// Settings of the log service.
+    pub log: Value,
+    /// Workspaces.
+    pub workspaces: usize,
+    /// Budgets, over the workspaces in turn; each spends its first one.
+    pub budgets: usize,
+    /// Tokens of each budget.
+    pub tokens: u64,
+    /// Further settings of each router.
+    pub router_settings: String,
+}
+
+/// A router as a process.
+#[derive(Debug)]
+pub struct RouterProcess {
+    /// The process.
+    pub process: Process,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    admin: SocketAddr,
+}
+
+/// A running fleet; its processes end when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The log service.
+    pub log: Standin,
+    /// The host list.
+    pub hosts: Standin,
+    /// The backend servers.
+    pub backends: Vec<Standin>,
+    /// The sidecars.
+    pub sidecars: Vec<Process>,
+    /// The routers.
+    pub routers: Vec<RouterProcess>,
+    settings: FleetSettings,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts all processes and waits until each router takes work for all services.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start.
+    pub async fn start(settings: FleetSettings) -> Result<Self, Failure> {
+        let folder = std::env::temp_dir().join(format!("mallowpath-bench-{}", std::process::id()));
+        fs::create_dir_all(&folder)?;
+        let mut fleet = Self {
+            log: Standin::start("log", "log", &settings.log)?,
+            hosts: Standin::start("hosts", "hosts", &json!({}))?,
+            backends: Vec::new(),
+            sidecars: Vec::new(),
+            routers: Vec::new(),
+            settings,
+            folder,
+        };
+        fleet.publish().await?;
+        for number in 0..fleet.settings.engines {
+            let engine = fleet.settings.engine.clone();
+            fleet.start_backend("m", "engine", &engine, number).await?;
+        }
+        for number in 0..fleet.settings.lookups {
+            fleet
+                .start_backend("lookup", "service", &json!({}), number)
+                .await?;
+        }
+        for number in 0..fleet.settings.routers {
+            fleet.start_router(number).await?;
+        }
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Returns the key of the workspace of this number.
+    pub fn key(workspace: usize) -> Arc<str> {
+        Arc::from(format!("key-{workspace}"))
+    }
+
+    /// Starts one more router.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub async fn add_router(&mut self) -> Result<(), Failure> {
+        self.start_router(self.routers.len()).await
+    }
+
+    /// Starts one more plain service with its sidecar.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub async fn add_lookup(&mut self) -> Result<(), Failure> {
+        let number = self.backends.len();
+        self.start_backend("lookup", "service", &json!({}), number)
+            .await
+    }
+
+    async fn publish(&self) -> Result<(), Failure> {
+        let client = LogClient::new(self.log.address, LogClientSettings::default());
+        let mut text = configuration_head(self.settings.workspaces);
+        let mut added = 0;
+        while added < self.settings.budgets {
+            let next = (added + BUDGETS_PER_CHANGE).min(self.settings.budgets);
+            for number in added..next {
+                let workspace = number % self.settings.workspaces;
+                write!(
+                    text,
+                    "[budget b{number}]\nworkspace = w{workspace}\ntokens = {}\n",
+                    self.settings.tokens
+                )?;
+            }
+            added = next;
+            publish(&client, &sections(&text), "bench").await?;
+        }
+        Ok(())
+    }
+
+    async fn start_backend(
+        &mut self,
+        service: &str,
+        kind: &str,
+        settings: &Value,
+        number: usize,
+    ) -> Result<(), Failure> {
+        let name = format!("{service}-{number}");
+        let backend = Standin::start(&name, kind, settings)?;
+        let mut text = self.place("sidecar", &name, number)?;
+        write!(
+            text,
+            "backend = {name}\nbackend_address = {}\nservice = {service}\n",
+            backend.address
+        )?;
+        let process = self.spawn(&name, Program::Sidecar, &text)?;
+        self.enter(&name, "sidecar", number, process.address("peers")?, service)
+            .await?;
+        self.backends.push(backend);
+        self.sidecars.push(process);
+        Ok(())
+    }
+
+    async fn start_router(&mut self, number: usize) -> Result<(), Failure> {
+        let name = format!("router-{number}");
+        let mut text = self.place("router", &name, number)?;
+        text.push_str("callers_listen = 127.0.0.1:0\n");
+        text.push_str(&self.settings.router_settings);
+        let process = self.spawn(&name, Program::Router, &text)?;
+        self.enter(&name, "router", number, process.address("peers")?, "")
+            .await?;
+        self.routers.push(RouterProcess {
+            callers: process.address("callers")?,
+            admin: process.address("admin")?,
+            process,
+        });
+        Ok(())
+    }
+
+    fn place(&self, role: &str, name: &str, number: usize) -> Result<String, Failure> {
+        let mut text = String::new();
+        write!(
+            text,
+            "[{role}]\nname = {name}\nzone = zone-{}\nregion = {REGION}\n\
+             peer_listen = 127.0.0.1:0\nadmin_listen = 127.0.0.1:0\nlog_service = {}\n\
+             host_list = {}\n",
+            number % self.settings.zones,
+            self.log.address,
+            self.hosts.address
+        )?;
+        Ok(text)
+    }
+
+    fn spawn(&self, name: &str, program: Program, settings: &str) -> Result<Process, Failure> {
+        let path = self.folder.join(format!("{name}.ini"));
+        fs::write(&path, settings)?;
+        let path = path.display().to_string();
+        Process::spawn(
+            name,
+            program,
+            &["--settings", &path, "--log-level", "error"],
+        )
+    }
+
+    async fn enter(
+        &self,
+        name: &str,
+        role: &str,
+        number: usize,
+        address: SocketAddr,
+        service: &str,
+    ) -> Result<(), Failure> {
+        let host = host_list::Host {
+            name: name.to_owned(),
+            address,
+            role: role.to_owned(),
+            availability_zone: format!("zone-{}", number % self.settings.zones),
+            region: REGION.to_owned(),
+            state: "live".to_owned(),
+            service: service.to_owned(),
+        };
+        host_list::enter(self.hosts.address, &host).await?;
+        Ok(())
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), Failure> {
+        let give_up = Instant::now() + Duration::from_millis(READY_MS);
+        let wanted = self.settings.engines.min(16) + self.settings.lookups.min(16);
+        for router in &self.routers {
+            while self.live_backends(router).await < wanted {
+                if Instant::now() > give_up {
+                    return Err("the fleet does not get ready".into());
+                }
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the number of backend servers that a router may give work to.
+    pub async fn live_backends(&self, router: &RouterProcess) -> usize {
+        let dump = dump(router).await;
+        let mut live = 0;
+        for backends in dump["routes"]
+            .as_object()
+            .into_iter()
+            .flat_map(|map| map.values())
+        {
+            for backend in backends.as_array().into_iter().flatten() {
+                live += usize::from(backend["state"] == "Live");
+            }
+        }
+        live
+    }
+}
+
+/// Returns the state of a router.
+pub async fn dump(router: &RouterProcess) -> Value {
+    match client::call(router.admin, "GET /dump", &[], "").await {
+        Ok(answer) => answer.json(),
+        Err(_) => Value::Null,
+    }
+}
+
+fn configuration_head(workspaces: usize) -> String {
+    let mut text = String::from(
+        "[service m]\nkind = model\nmax_output_tokens = 4096\ntimeout_ms = 20000\n\
+         [service lookup]\nkind = plain\ntokens_per_call = 1\ntimeout_ms = 20000\n",
+    );
+    for number in 0..workspaces {
+        let hash = mallowpath::BearerHash::of(&Fleet::key(number));
+        let _written = write!(
+            text,
+            "[workspace w{number}]\nkey_sha256 = {hash}\nbudget = b{number}\nservices = *\n\
+             home_region = {REGION}\nmax_running = 10000\n"
+        );
+    }
+    text
+}
+
+/// Reads configuration text.
+pub fn sections(text: &str) -> Sections {
+    let mut document = IniDocument::default();
+    document.merge_text("bench.ini", text);
+    sections_of(&document)
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if let Err(error) = fs::remove_dir_all(&self.folder) {
+            eprintln!("{} stays: {error}", self.folder.display());
+        }
+    }
+}
+
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            zones: 2,
+            routers: 2,
+            engines: 4,
+            engine: json!({"model": "m"}),
+            lookups: 1,
+            log: json!({}),
+            workspaces: 10,
+            budgets: 10,
+            tokens: 1_000_000_000,
+            router_settings: String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/path.rs
@@ -0,0 +1,143 @@
+//! The cost of the path itself: latency added to a direct call, and processor time a request.
+
+use crate::{
+    fleet::{Fleet, FleetSettings},
+    load::{Gun, Hit, Shot, count_whole, quantile_ms, times},
+    proc_stat::ProcStat,
+};
+use argh::FromArgs;
+use mallowpath_e2e::Failure;
+use serde_json::json;
+use std::{net::SocketAddr, sync::Arc};
+
+/// latency added by router and sidecar, and processor time a request
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "path")]
+pub struct PathArguments {
+    /// seconds for each load; default 4
+    #[argh(option, default = "4")]
+    seconds: u64,
+}
+
+/// What is called.
+#[derive(Debug, Clone, Copy)]
+enum Call {
+    Lookup,
+    Chat { tokens: u64 },
+}
+
+const LATENCY_PER_S: f64 = 100.0;
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Fails when the fleet does not start.
+pub async fn run(arguments: &PathArguments) -> Result<(), Failure> {
+    let settings = FleetSettings {
+        engine: json!({"model": "m", "max_running": 256, "kv_total_tokens": 10_000_000}),
+        ..FleetSettings::default()
+    };
+    let fleet = Fleet::start(settings).await?;
+    let gun = Gun::new();
+    let lookup = fleet.backends[fleet.backends.len() - 1].address;
+    let engine = fleet.backends[0].address;
+    let router = fleet.routers[0].callers;
+    let count = arguments.seconds * 100;
+    gun.open_loop(LATENCY_PER_S, 100, |_| shot(router, Call::Lookup, true))
+        .await;
+    for (what, direct, call) in [
+        ("lookup", lookup, Call::Lookup),
+        ("chat of 16 tokens", engine, Call::Chat { tokens: 16 }),
+    ] {
+        let alone = gun
+            .open_loop(LATENCY_PER_S, count, |_| shot(direct, call, false))
+            .await;
+        let routed = gun
+            .open_loop(LATENCY_PER_S, count, |_| shot(router, call, true))
+            .await;
+        for (way, hits) in [("direct", &alone), ("routed", &routed)] {
+            print_latency(what, way, hits);
+        }
+    }
+    for call in [
+        Call::Lookup,
+        Call::Chat { tokens: 8 },
+        Call::Chat { tokens: 64 },
+    ] {
+        for per_s in [100, 200, 400] {
+            measure_cpu(&fleet, &gun, call, per_s, arguments.seconds).await?;
+        }
+    }
+    Ok(())
+}
+
+fn print_latency(what: &str, way: &str, hits: &[Hit]) {
+    let first = times(hits, |hit| hit.first_us);
+    let last = times(hits, |hit| hit.last_us);
+    let line = json!({
+        "experiment": "path", "call": what, "way": way, "per_s": LATENCY_PER_S,
+        "sent": hits.len(), "whole": count_whole(hits),
+        "first_p50_ms": quantile_ms(&first, 0.5), "first_p99_ms": quantile_ms(&first, 0.99),
+        "last_p50_ms": quantile_ms(&last, 0.5), "last_p99_ms": quantile_ms(&last, 0.99),
+    });
+    println!("{line}");
+}
+
+async fn measure_cpu(
+    fleet: &Fleet,
+    gun: &Gun,
+    call: Call,
+    per_s: u64,
+    seconds: u64,
+) -> Result<(), Failure> {
+    let router = &fleet.routers[0];
+    let router_before = ProcStat::read(router.process.id())?;
+    let sidecars_before = sidecar_cpu_ms(fleet)?;
+    let count = per_s * seconds;
+    let hits = gun
+        .open_loop(per_s as f64, count, |_| shot(router.callers, call, true))
+        .await;
+    let router_ms = ProcStat::read(router.process.id())?.cpu_ms - router_before.cpu_ms;
+    let sidecars_ms = sidecar_cpu_ms(fleet)? - sidecars_before;
+    let line = json!({
+        "experiment": "path cpu", "call": format!("{call:?}"), "per_s": per_s,
+        "sent": count, "whole": count_whole(&hits),
+        "router_us_per_request": router_ms * 1_000 / count,
+        "sidecars_us_per_request": sidecars_ms * 1_000 / count,
+    });
+    println!("{line}");
+    Ok(())
+}
+
+fn sidecar_cpu_ms(fleet: &Fleet) -> Result<u64, Failure> {
+    let mut cpu_ms = 0;
+    for sidecar in &fleet.sidecars {
+        cpu_ms += ProcStat::read(sidecar.id())?.cpu_ms;
+    }
+    Ok(cpu_ms)
+}
+
+fn shot(address: SocketAddr, call: Call, routed: bool) -> Shot {
+    let (method, path, body) = match call {
+        Call::Lookup if routed => ("GET", "/services/lookup/x", String::new()),
+        Call::Lookup => ("GET", "/x", String::new()),
+        Call::Chat { tokens } => ("POST", "/v1/chat/completions", chat_body(tokens)),
+    };
+    Shot {
+        address,
+        method,
+        path: Arc::from(path),
+        body: Arc::from(body),
+        key: Fleet::key(0),
+        id: 0,
+    }
+}
+
+fn chat_body(tokens: u64) -> String {
+    json!({
+        "model": "m", "stream": true, "standin_tokens": tokens, "max_tokens": tokens * 2,
+        "messages": [{"role": "user", "content": "Which rooms are free at noon?"}],
+    })
+    .to_string()
+}
--- a/crates/e2e/src/process.rs
+++ b/crates/e2e/src/process.rs
@@ -68,6 +68,11 @@
         &self.name
     }
 
+    /// Returns the identifier by which the system knows it.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns one of the addresses that it printed.
     ///
     /// # Errors
--- a/crates/e2e/src/program.rs
+++ b/crates/e2e/src/program.rs
@@ -33,7 +33,12 @@
     /// Fails when the program is not there.
     pub fn path(self) -> Result<PathBuf, Failure> {
         let test = env::current_exe()?;
-        let profile = test.parent().and_then(Path::parent);
+        let folder = test.parent();
+        // Tests lie one folder below the programs, other programs beside them.
+        let profile = match folder {
+            Some(folder) if folder.ends_with("deps") => folder.parent(),
+            _ => folder,
+        };
         let path = profile.unwrap_or(Path::new(".")).join(self.name());
         if path.is_file() {
             return Ok(path);
