--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -102,6 +102,8 @@
         availability_zone: zone,
         region: "local".to_owned(),
         state: state.to_owned(),
+
+        service: String::new(),
     };
     host_list::enter(list, &host).await.expect("a host list");
 }
--- a/crates/embedded/tests/keys/fleet.rs
+++ b/crates/embedded/tests/keys/fleet.rs
@@ -175,6 +175,8 @@
             availability_zone: place.zone.to_string(),
             region: place.region.to_string(),
             state: "live".into(),
+
+            service: String::new(),
         };
         host_list::enter(self.site.hosts.address, &host)
             .await
--- a/crates/embedded/tests/orders.rs
+++ b/crates/embedded/tests/orders.rs
@@ -133,6 +133,7 @@
         availability_zone: "zone-0".into(),
         region: "local".into(),
         state: "live".into(),
+        service: String::new(),
     };
     host_list::enter(site.hosts.address, &host)
         .await
--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -4,9 +4,9 @@
 //! attaches to the run that has it, and gets that run's answer, which is billed once.
 
 use crate::{
+    admission::Permit,
     bill::{Bill, BillRecord},
-    id::RequestId,
-    id::{BackendId, Tokens},
+    id::{BackendId, RequestId, Tokens},
     job::{Attempt, Delivery, Ended, Job, Output, RETRY_AFTER_MS, Receipt, lost, receipt},
     key::KeyEntry,
     key_client::{Bound, JobKey},
@@ -15,6 +15,7 @@
     refusal::{Code, Refusal},
     reservation::Reservation,
     router::Router,
+    routes::{Chosen, Forecast},
     wire::{Attach, Body, End, SubmitKey},
 };
 use prost::Message;
@@ -56,7 +57,7 @@
 
 /// How attaching to a run went.
 enum Attached {
-    Ended(Attempt, End),
+    Ended(Box<Attempt>, End),
     NeverRan,
     Lost,
 }
@@ -95,27 +96,26 @@
     }
 
     async fn keyed_step(self: &Arc<Self>, keyed: &mut KeyedJob, delivery: &mut Delivery) -> Step {
-        let tokens = Tokens(keyed.job.prompt_tokens + keyed.job.cap_tokens);
-        let budget = &keyed.job.workspace.budget;
-        let reservation = match self.reserve(budget, tokens, keyed.deadline).await {
-            Ok(reservation) => reservation,
+        let admitted = self.admit(&keyed.job, keyed.deadline, &delivery.out).await;
+        let (permit, reservation) = match admitted {
+            Ok(admitted) => admitted,
             Err(refusal) => return self.answer_bound(keyed, refusal, delivery).await,
         };
-        let (backend, link) = match self.choose(&keyed.job, &keyed.tried) {
+        let chosen = match self.choose(&keyed.job, &keyed.tried) {
             Ok(chosen) => chosen,
             Err(refusal) => {
                 self.settle(reservation, Tokens::ZERO);
                 return self.answer_bound(keyed, refusal, delivery).await;
             }
         };
-        let wanted = keyed.entry(&link);
+        let wanted = keyed.entry(&chosen.link);
         let displaced = keyed.displaced.take();
         let was_bound = std::mem::replace(&mut keyed.may_be_bound, true);
         match self.bind_key(&keyed.key, &wanted, displaced.as_ref()).await {
             Bound::Own(submit_key) => {
-                keyed.tried.push(backend.clone());
-                let place = (backend, link);
-                self.run_bound(keyed, reservation, place, submit_key, delivery)
+                keyed.tried.push(chosen.backend.clone());
+                let admitted = (permit, reservation);
+                self.run_bound(keyed, admitted, chosen, submit_key, delivery)
                     .await
             }
             bound => {
@@ -136,33 +136,35 @@
     async fn run_bound(
         self: &Arc<Self>,
         keyed: &mut KeyedJob,
-        reservation: Reservation,
-        (backend, link): (BackendId, Arc<Link>),
+        (permit, reservation): (Permit, Reservation),
+        chosen: Chosen,
         submit_key: SubmitKey,
         delivery: &mut Delivery,
     ) -> Step {
-        let entry = keyed.entry(&link);
+        let entry = keyed.entry(&chosen.link);
         let mut submit = self.submit_message(&keyed.job, &reservation, keyed.deadline);
         submit.key = Some(submit_key);
-        let mut attempt = match self.submit(&keyed.job, backend, &link, submit).await {
+        let mut attempt = match self.submit(&keyed.job, chosen, submit).await {
             Ok(attempt) => attempt,
             Err(refusal) => return self.try_again(keyed, reservation, entry, refusal),
         };
-        delivery.submitted_at_ms = attempt.submitted_at_ms;
+        delivery.begin(attempt.submitted_at_ms);
         let deadline = keyed.deadline;
         let ended = self
             .deliver(&keyed.job, &mut attempt, deadline, delivery)
             .await;
-        self.routes()
-            .ended(&keyed.job, &attempt, delivery.first_chunk_ms);
+        self.count_attempt(&keyed.job, &attempt, &ended, delivery);
         match ended {
             Ended::End(end) => {
                 keyed.submitted = true;
+                permit.finish(end.prompt_tokens + end.completion_tokens, end.whole);
                 self.end_key(keyed.key, &entry);
                 let closed = self.close(&keyed.job, reservation, &attempt, &end).await;
                 Step::Done(closed)
             }
-            Ended::NotRun(refusal) => self.try_again(keyed, reservation, entry, refusal),
+            Ended::NotRun(refusal) | Ended::Refused(refusal) => {
+                self.try_again(keyed, reservation, entry, refusal)
+            }
             Ended::Lost => {
                 keyed.submitted = true;
                 let refusal = lost(&attempt);
@@ -297,14 +299,15 @@
             sidecar: entry.sidecar,
             sidecar_zone: Arc::from(link.peer().zone.as_str()),
             submitted_at_ms: now_ms(),
+            forecast: Forecast::default(),
             call,
         };
         delivery.attached = true;
         let ended = self.deliver(job, &mut attempt, deadline, delivery).await;
         delivery.attached = false;
         match ended {
-            Ended::End(end) => Attached::Ended(attempt, end),
-            Ended::NotRun(_) => Attached::NeverRan,
+            Ended::End(end) => Attached::Ended(Box::new(attempt), end),
+            Ended::NotRun(_) | Ended::Refused(_) => Attached::NeverRan,
             Ended::Lost => Attached::Lost,
         }
     }
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -66,6 +66,7 @@
 //! whose [`Outcome`] says whether their request ran.
 
 mod admin;
+mod admission;
 mod audit;
 mod audit_log;
 mod backend;
@@ -169,6 +170,7 @@
 mod slice;
 mod slice_wire;
 mod standing;
+mod tries;
 mod verdict;
 mod wallet;
 mod wallet_account;
--- a/crates/mallowpath/src/route.rs
+++ b/crates/mallowpath/src/route.rs
@@ -120,7 +120,7 @@
         &self.backends
     }
 
-    /// Returns the backends to be changed.
+    /// Returns all backends for changes of state and weight.
     pub(crate) fn backends_mut(&mut self) -> &mut [Backend] {
         &mut self.backends
     }
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
+    admission::Admissions,
     bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
@@ -22,12 +23,12 @@
     members::Join,
     members_task::MembersTask,
     order_task::OrderDesk,
-    peers::{sidecar_addresses, witness_addresses},
+    peers::{sidecars, witness_addresses},
     reclaims::Reclaims,
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
-    routes::Routes,
+    routes::{Chosen, Routes},
     running::Running,
     seen::PeersSeen,
     settings::{HostSettings, RouterSettings},
@@ -36,6 +37,7 @@
 };
 use serde_json::{Value, json};
 use std::{
+    collections::HashSet,
     fmt::{self, Display},
     net::SocketAddr,
     sync::{
@@ -60,6 +62,7 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) admissions: Arc<Admissions>,
     pub(crate) orders: OrderDesk,
     pub(crate) keys: Keys,
     routes: Routes,
@@ -129,6 +132,7 @@
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
                 keys: Keys::new(incarnation, peers_address, &settings.tuning),
+                admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 orders: OrderDesk::default(),
                 members: MembersTask::new(log.clone()),
@@ -170,6 +174,7 @@
         tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.admissions).expire());
         tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
         tokio::spawn(Arc::clone(self).follow_members(peers_address));
         tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
@@ -253,7 +258,7 @@
         &self,
         job: &Job,
         tried: &[BackendId],
-    ) -> std::result::Result<(BackendId, Arc<Link>), Refusal> {
+    ) -> std::result::Result<Chosen, Refusal> {
         self.routes.choose(job, tried)
     }
 
@@ -276,6 +281,7 @@
             "config_author": self.configuration.author(),
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
+            "admission": self.admissions.dump(),
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
@@ -407,9 +413,16 @@
         loop {
             let list = Arc::clone(&hosts.borrow_and_update());
             self.routes.hosts_changed(&list);
-            let mut wanted = sidecar_addresses(&self.settings.host, &list);
+            let per_service = self.settings.tuning.sidecars_per_service;
+            let mut wanted = Vec::new();
+            let mut names = HashSet::new();
+            for sidecar in sidecars(&self.settings.host, &list, per_service) {
+                wanted.push(sidecar.address);
+                names.insert(&sidecar.name);
+            }
             wanted.extend(witness_addresses(&self.settings.host, &list));
             self.dialer.keep(&wanted, &up, &down);
+            self.routes.forget_unlisted(&names);
             if hosts.changed().await.is_err() {
                 return;
             }
