Split the callers' interface into requests and answers

Cause: front.rs had grown to 500 lines with two jobs. Change: answer.rs makes answers, front.rs reads requests; no behaviour changed.

--- a/crates/mallowpath/src/front.rs
+++ b/crates/mallowpath/src/front.rs
@@ -7,31 +7,28 @@
 //! | any `/services/{service}/{path}` | a call of a plain service |
 
 use crate::{
-    chat::{ChatRequest, StreamEvent, Usage},
+    answer::{event_stream, json_response, refusal_response, whole_chat, whole_plain},
+    chat::ChatRequest,
     fleet::{BearerHash, Service, ServiceKind, Workspace},
     id::{RequestId, ServiceId},
-    job::{Job, Output, Receipt},
+    job::{Job, Output},
     prefix::prefix_hashes,
     refusal::{Code, Refusal},
     router::Router,
-    wire::Head,
 };
 use axum::{
     body::{Body, Bytes},
     extract::{Path, Request, State},
-    http::{HeaderMap, HeaderValue, Response, StatusCode, header},
+    http::{HeaderMap, Response, StatusCode, header},
     routing::{any, get, post},
 };
-use futures_util::Stream;
 use http_body_util::{BodyExt, Limited};
 use serde_json::json;
-use std::{convert::Infallible, fmt::Write, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time::timeout};
 
 /// Parts of an answer that wait for a slow caller.
 const WAITING_OUTPUTS: usize = 256;
-const REQUEST_ID: &str = "x-request-id";
-const BILLED_TOKENS: &str = "x-mallowpath-billed-tokens";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Header by which a caller marks a request as not repeatable: `no`.
 const REPEATABLE: &str = "x-mallowpath-repeatable";
@@ -285,213 +282,3 @@
     let marked = headers.get(REPEATABLE).is_some_and(|value| value == "no");
     service.repeatable && !marked
 }
-
-/// Answers with server-sent events; `[DONE]` comes only behind a whole and billed answer.
-///
-/// A refusal before the first event gets its own HTTP status.
-async fn event_stream(id: RequestId, mut outputs: mpsc::Receiver<Output>) -> Response<Body> {
-    match outputs.recv().await {
-        Some(Output::Refused(refusal)) => refusal_response(&refusal, Some(id)),
-        Some(Output::Head(head)) if head.status >= 400 => {
-            collect_plain(id, Some(head), outputs).await
-        }
-        Some(_) => {
-            let body = Body::from_stream(events(id, outputs));
-            response(StatusCode::OK, "text/event-stream", body, Some(id))
-        }
-        None => refusal_response(&broke_off(), Some(id)),
-    }
-}
-
-#[cold]
-fn broke_off() -> Refusal {
-    Refusal::unknown(Code::BackendFailed, "the answer broke off")
-}
-
-fn events(
-    id: RequestId,
-    outputs: mpsc::Receiver<Output>,
-) -> impl Stream<Item = Result<Bytes, Infallible>> {
-    futures_util::stream::unfold(outputs, move |mut outputs| async move {
-        let output = outputs.recv().await?;
-        Some((Ok(event(id, output)), outputs))
-    })
-}
-
-fn event(id: RequestId, output: Output) -> Bytes {
-    match output {
-        Output::Head(_) => Bytes::from_static(b": started\n\n"),
-        Output::Data(data) => {
-            let mut text = Vec::with_capacity(data.len() + 8);
-            text.extend_from_slice(b"data: ");
-            text.extend_from_slice(&data);
-            text.extend_from_slice(b"\n\n");
-            Bytes::from(text)
-        }
-        Output::Whole(receipt) => {
-            let last = json!({
-                "id": receipt.request.to_string(),
-                "object": "chat.completion.chunk",
-                "choices": [],
-                "usage": usage(&receipt),
-                "mallowpath": billed(&receipt),
-            });
-            Bytes::from(format!("data: {last}\n\ndata: [DONE]\n\n"))
-        }
-        Output::Refused(refusal) => {
-            let text = refusal.to_json(Some(&id.to_string()));
-            Bytes::from(format!("event: error\ndata: {text}\n\n"))
-        }
-    }
-}
-
-fn usage(receipt: &Receipt) -> serde_json::Value {
-    let Usage {
-        prompt_tokens,
-        completion_tokens,
-    } = receipt.usage;
-    json!({
-        "prompt_tokens": prompt_tokens,
-        "completion_tokens": completion_tokens,
-        "total_tokens": prompt_tokens + completion_tokens,
-    })
-}
-
-fn billed(receipt: &Receipt) -> serde_json::Value {
-    json!({"request_id": receipt.request.to_string(), "billed_tokens": receipt.billed_tokens()})
-}
-
-/// Answers with one JSON object once the answer is whole.
-async fn whole_chat(id: RequestId, mut outputs: mpsc::Receiver<Output>) -> Response<Body> {
-    let mut text = String::new();
-    let mut finish_reason = None;
-    let mut failed_head = None;
-    let mut raw = Vec::new();
-    while let Some(output) = outputs.recv().await {
-        match output {
-            Output::Head(head) if head.status >= 400 => failed_head = Some(head),
-            Output::Head(_) => {}
-            Output::Data(data) if failed_head.is_some() => raw.extend_from_slice(&data),
-            Output::Data(data) => {
-                let Ok(event) = serde_json::from_slice::<StreamEvent>(&data) else {
-                    continue;
-                };
-                if let Some(content) = event.content {
-                    text.push_str(&content);
-                }
-                finish_reason = event.finish_reason.or(finish_reason);
-            }
-            Output::Whole(receipt) => {
-                if let Some(head) = failed_head {
-                    return passed_on(&head, raw, &receipt);
-                }
-                let answer = json!({
-                    "id": receipt.request.to_string(),
-                    "object": "chat.completion",
-                    "choices": [{
-                        "index": 0,
-                        "message": {"role": "assistant", "content": text},
-                        "finish_reason": finish_reason,
-                    }],
-                    "usage": usage(&receipt),
-                    "mallowpath": billed(&receipt),
-                });
-                let body = Body::from(answer.to_string());
-                let response = response(
-                    StatusCode::OK,
-                    "application/json",
-                    body,
-                    Some(receipt.request),
-                );
-                return with_bill(response, &receipt);
-            }
-            Output::Refused(refusal) => return refusal_response(&refusal, Some(id)),
-        }
-    }
-    refusal_response(&broke_off(), Some(id))
-}
-
-async fn whole_plain(id: RequestId, outputs: mpsc::Receiver<Output>) -> Response<Body> {
-    collect_plain(id, None, outputs).await
-}
-
-async fn collect_plain(
-    id: RequestId,
-    mut answer_head: Option<Head>,
-    mut outputs: mpsc::Receiver<Output>,
-) -> Response<Body> {
-    let mut raw = Vec::new();
-    while let Some(output) = outputs.recv().await {
-        match output {
-            Output::Head(head) => answer_head = Some(head),
-            Output::Data(data) => raw.extend_from_slice(&data),
-            Output::Whole(receipt) => {
-                let Some(head) = answer_head else { break };
-                return passed_on(&head, raw, &receipt);
-            }
-            Output::Refused(refusal) => return refusal_response(&refusal, Some(id)),
-        }
-    }
-    refusal_response(&broke_off(), Some(id))
-}
-
-/// Hands on an answer of a backend server with its own status.
-fn passed_on(head: &Head, raw: Vec<u8>, receipt: &Receipt) -> Response<Body> {
-    let status = u16::try_from(head.status)
-        .ok()
-        .and_then(|code| StatusCode::from_u16(code).ok());
-    let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    let response = response(
-        status,
-        &head.content_type,
-        Body::from(raw),
-        Some(receipt.request),
-    );
-    with_bill(response, receipt)
-}
-
-fn with_bill(mut response: Response<Body>, receipt: &Receipt) -> Response<Body> {
-    let value = HeaderValue::from(receipt.billed_tokens());
-    response.headers_mut().insert(BILLED_TOKENS, value);
-    response
-}
-
-fn refusal_response(refusal: &Refusal, id: Option<RequestId>) -> Response<Body> {
-    let mut name = String::new();
-    if let Some(id) = id {
-        write!(name, "{id}").expect("writing to a string does not fail");
-    }
-    let text = refusal.to_json(id.is_some().then_some(name.as_str()));
-    let mut response = response(refusal.status(), "application/json", Body::from(text), id);
-    if let Some(retry_after_ms) = refusal.retry_after_ms {
-        let seconds = HeaderValue::from(retry_after_ms.div_ceil(1000));
-        response.headers_mut().insert(header::RETRY_AFTER, seconds);
-    }
-    response
-}
-
-fn json_response(status: StatusCode, text: String) -> Response<Body> {
-    response(status, "application/json", Body::from(text), None)
-}
-
-fn response(
-    status: StatusCode,
-    content_type: &str,
-    body: Body,
-    id: Option<RequestId>,
-) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    if let Ok(value) = HeaderValue::from_str(content_type)
-        && !content_type.is_empty()
-    {
-        headers.insert(header::CONTENT_TYPE, value);
-    }
-    if let Some(id) = id
-        && let Ok(value) = HeaderValue::from_str(&id.to_string())
-    {
-        headers.insert(REQUEST_ID, value);
-    }
-    response
-}
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -67,6 +67,7 @@
 
 mod admin;
 mod admission;
+mod answer;
 mod audit;
 mod audit_log;
 mod backend;
