--- /dev/null
+++ b/crates/embedded/tests/limits.rs
@@ -0,0 +1,40 @@
+//! A budget that was changed in the configuration reaches its ledger without a request.
+
+use mallowpath::{LogClient, LogClientSettings, Published, Tokens, audit_log, publish};
+use mallowpath_embedded::{EXAMPLE_KEY, Site, SiteSettings, example_configuration};
+use mallowpath_standins::client;
+use std::time::{Duration, Instant};
+
+const WITHIN_MS: u64 = 7000;
+
+#[tokio::test]
+async fn lowered_budget_is_in_the_ledger_within_seven_seconds() {
+    let site = Site::start(SiteSettings::default())
+        .await
+        .expect("the site starts");
+    let bearer = format!("Bearer {EXAMPLE_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let body = r#"{"model":"small","max_tokens":3,"messages":[{"role":"user","content":"Hi"}]}"#;
+    let callers = site.routers[0].1.callers;
+    let answer = client::call(callers, "POST /v1/chat/completions", &headers, body).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    let log = LogClient::new(site.log.address, LogClientSettings::default());
+    let mut sections = example_configuration();
+    for section in sections.values_mut() {
+        if &*section.kind == "budget" {
+            section.entries.insert("tokens".into(), "1k".into());
+        }
+    }
+    let published = publish(&log, &sections, "test").await;
+    assert!(matches!(published, Ok(Published::Accepted(_))));
+    let published_at = Instant::now();
+    let name = "demo-prepaid".parse().expect("a name");
+    while published_at.elapsed() < Duration::from_millis(WITHIN_MS) {
+        let report = audit_log(&log).await.expect("the log is up");
+        if report.budgets[&name].balance.limit == Tokens(1000) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("the limit in the ledger is the old one");
+}
--- /dev/null
+++ b/crates/embedded/tests/retention.rs
@@ -0,0 +1,114 @@
+//! Streams whose beginnings are gone: fresh processes start from checkpoints, or refuse.
+
+use mallowpath::{
+    Category, LEDGER_SHARDS, LedgerBatch, LedgerEntry, LedgerRecord, LogClient, LogClientSettings,
+    Offset, TopUpRecord, audit_log, ledger_stream, shard_of,
+};
+use mallowpath_embedded::{EXAMPLE_KEY, Site, SiteSettings};
+use mallowpath_standins::client::{self, Answer};
+use prost::Message;
+use std::time::Duration;
+
+const BUDGET: &str = "demo-prepaid";
+const TOP_UPS: u64 = 60;
+const PAUSE_MS: u64 = 60;
+const NOTICE_MS: u64 = 2_500;
+
+async fn site(retained_records: u64) -> (Site, LogClient, String) {
+    let mut settings = SiteSettings::default();
+    settings.log.retained_records = retained_records;
+    settings.router_tuning.bill_batch_ms = 50;
+    let site = Site::start(settings).await.expect("the site starts");
+    let log = LogClient::new(site.log.address, LogClientSettings::default());
+    let shard = shard_of(&BUDGET.parse().expect("a name"), LEDGER_SHARDS);
+    assert_eq!(chat(&site).await.status, 200);
+    (site, log, ledger_stream(shard))
+}
+
+async fn chat(site: &Site) -> Answer {
+    let bearer = format!("Bearer {EXAMPLE_KEY}");
+    let headers = [("authorization", bearer.as_str())];
+    let body = r#"{"model":"small","max_tokens":3,"messages":[{"role":"user","content":"Hello"}]}"#;
+    let callers = site.routers[0].1.callers;
+    client::call(callers, "POST /v1/chat/completions", &headers, body)
+        .await
+        .expect("an answer")
+}
+
+/// Appends a top-up of one token, as an operator does.
+async fn top_up(log: &LogClient, stream: &str, number: u64) {
+    let (_, next) = log.bounds(stream).await.expect("the log is up");
+    let record = TopUpRecord {
+        budget: BUDGET.into(),
+        id: number.to_string(),
+        tokens: 1,
+        issued_at: next.0,
+    };
+    let entry = Some(LedgerEntry::TopUp(record));
+    let batch = LedgerBatch {
+        author: 1,
+        sequence: number,
+        records: vec![LedgerRecord { entry }],
+    };
+    log.append(stream, batch.encode_to_vec().into())
+        .await
+        .expect("the log is up");
+}
+
+#[tokio::test]
+async fn fresh_processes_start_from_checkpoints() {
+    let (mut site, log, stream) = site(16).await;
+    for number in 0..TOP_UPS {
+        top_up(&log, &stream, number).await;
+        if number % 4 == 0 {
+            site.restart_sidecar(0).await.expect("it starts");
+        }
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+    for stream in [stream.as_str(), "members"] {
+        for _ in 0..20 {
+            let (first, _) = log.bounds(stream).await.expect("the log is up");
+            if first > Offset(0) {
+                break;
+            }
+            site.restart_sidecar(0).await.expect("it starts");
+            tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+        let (first, _) = log.bounds(stream).await.expect("the log is up");
+        assert!(first > Offset(0), "{stream} still has its beginning");
+    }
+    // A router notices within its wait for records that the beginning is gone.
+    tokio::time::sleep(Duration::from_millis(NOTICE_MS)).await;
+    site.restart_router(0).await.expect("it starts");
+    site.wait_until_connected().await;
+    let mut answered = false;
+    for _ in 0..10 {
+        answered |= chat(&site).await.status == 200;
+        if answered {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+    }
+    assert!(answered, "{:#}", site.routers[0].0.dump());
+    let report = audit_log(&log).await.expect("a checkpoint is there");
+    let budget = report.budgets[&BUDGET.parse().expect("a name")];
+    assert_eq!(budget.balance.top_ups.0, TOP_UPS);
+    assert_eq!(budget.balance.limit.0, 1_000_000);
+    assert!(!budget.is_overbilled(), "{report}");
+}
+
+#[tokio::test]
+async fn ledger_without_beginning_or_checkpoint_is_refused() {
+    let (mut site, log, stream) = site(8).await;
+    site.kill_router(0);
+    for number in 0..20 {
+        top_up(&log, &stream, number).await;
+    }
+    let error = audit_log(&log).await.expect_err("the start is gone");
+    assert_eq!(error.category(), Category::Gone);
+    assert!(error.to_string().contains("refusing to start"), "{error}");
+    site.restart_router(0).await.expect("it starts");
+    site.wait_until_connected().await;
+    let answer = chat(&site).await;
+    assert_eq!(answer.json()["error"]["outcome"], "not_run", "{answer:?}");
+}
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -55,6 +55,8 @@
     outbox: Outbox,
     revoked: bool,
     members_seen: Offset,
+    /// Versions of the limits that were queued and not judged yet.
+    limits: BTreeMap<BudgetId, Version>,
     /// Whether this keeper ends: it draws nothing more and gives nothing out.
     closing: bool,
 }
@@ -74,6 +76,7 @@
             outbox: Outbox::new(incarnation),
             revoked: false,
             members_seen: Offset(0),
+            limits: BTreeMap::new(),
             closing: false,
         }
     }
@@ -96,6 +99,9 @@
     ) -> Result<(), LedgerError> {
         let verdicts = self.ledger.apply(offset, batch)?;
         for verdict in verdicts {
+            if let (Some(budget), Effect::Limited(_)) = (&verdict.budget, verdict.effect) {
+                self.limits.remove(budget);
+            }
             let Some(grant) = verdict.grant else { continue };
             let Some(budget) = verdict.budget else {
                 continue;
@@ -374,13 +380,16 @@
         slices
     }
 
-    /// Queues a limit out of the configuration unless the ledger has it.
+    /// Queues a limit out of the configuration unless the ledger has it or it is on its way.
     pub fn set_limit(&mut self, budget: &BudgetId, version: Version, tokens: Tokens) {
         let known = self.ledger.balance(budget).unwrap_or_default();
-        if version > known.version {
-            self.outbox
-                .push(LedgerRecord::limit(budget, version, tokens));
+        let queued = self.limits.get(budget).copied().unwrap_or_default();
+        if version <= known.version || version <= queued {
+            return;
         }
+        self.limits.insert(budget.clone(), version);
+        self.outbox
+            .push(LedgerRecord::limit(budget, version, tokens));
     }
 
     /// Returns all grants from now on as soon as no slice of them is out, and draws no more.
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -75,6 +75,7 @@
 mod bill_book;
 mod bill_shelf;
 mod bills;
+mod budget_limits;
 mod budgets;
 mod callers;
 mod candidates;
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -159,6 +159,7 @@
         tokio::spawn(Arc::clone(self).follow_hosts());
         tokio::spawn(crate::config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
+        tokio::spawn(crate::budget_limits::follow(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
         tokio::spawn(Arc::clone(self).follow_members(peers_address));
         tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
--- /dev/null
+++ b/crates/mallowpath/tests/regression_limit_flood.rs
@@ -0,0 +1,19 @@
+//! Regression: each request queued the same limit again until the log had it, so an outage of the
+//! log filled the memory of a keeper.
+
+use mallowpath::{Incarnation, Keeper, KeeperSettings, Ledger, Tokens, Version};
+
+#[test]
+fn a_limit_is_queued_once() {
+    let budget = "workspace/budget".parse().expect("the name is valid");
+    let mut keeper = Keeper::new(Incarnation(1), Ledger::default(), KeeperSettings::default());
+    for version in [1, 1, 1, 2, 1, 2] {
+        keeper.set_limit(&budget, Version(version), Tokens(100));
+    }
+    let batch = keeper.batch(0).expect("records are queued");
+    assert_eq!(batch.records.len(), 2);
+    let next = keeper.ledger().next();
+    keeper.replay(next, &batch, 0).expect("the offset is next");
+    keeper.set_limit(&budget, Version(3), Tokens(50));
+    assert_eq!(keeper.batch(0).map(|batch| batch.records.len()), Some(1));
+}
