Check keys under takeovers, cuts and log outages

Cause: the first tests covered lost holders only where nothing else failed, and other routers were found at their own listening addresses, past the address of the host list.

Change: holders of shards are named by their address in the host list. A bill that an attached router brings in is kept by routers of other zones too, so retries get whole answers in a log outage. A request that may not run twice says `unknown` after 1 s without its sidecar, not 5 s. An identifier that may have been displaced is not bound again, also when only a repeated question can have bound it.

--- /dev/null
+++ b/crates/embedded/examples/key_cost.rs
@@ -0,0 +1,79 @@
+//! Measures what an idempotency key costs: latency, and refusals while the log service is out.
+//!
+//! `cargo run --release -p mallowpath-embedded --example key_cost`
+//!
+//! All processes run in this one on loopback, so the figures hold no network delay: a commit adds
+//! the way from the router to the owner and from the owner to the witness.
+
+use mallowpath_embedded::{EXAMPLE_KEY, Site, SiteSettings};
+use mallowpath_standins::{Outage, client};
+use std::{
+    error::Error,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+const ROUTERS: usize = 6;
+const ZONES: usize = 3;
+const REQUESTS: usize = 3000;
+const OUTAGE_REQUESTS: usize = 600;
+const SETTLE_MS: u64 = 2000;
+
+type Failed = Box<dyn Error + Send + Sync>;
+
+#[tokio::main]
+async fn main() -> Result<(), Failed> {
+    let settings = SiteSettings {
+        routers: ROUTERS,
+        zones: ZONES,
+        ..SiteSettings::default()
+    };
+    let site = Site::start(settings).await?;
+    tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
+    for round in ["warm-up", "measured"] {
+        let mut plain = Vec::new();
+        let mut keyed = Vec::new();
+        let mut again = Vec::new();
+        for number in 0..REQUESTS {
+            let callers = site.routers[number % ROUTERS].1.callers;
+            let other = site.routers[(number + 1) % ROUTERS].1.callers;
+            let key = format!("{round}-{number}");
+            plain.push(call(callers, None).await?.0);
+            keyed.push(call(callers, Some(&key)).await?.0);
+            again.push(call(other, Some(&key)).await?.0);
+        }
+        println!("{round}: {REQUESTS} requests each, one at a time");
+        print_latency("without a key", plain);
+        print_latency("with a new key", keyed);
+        print_latency("retry through another router", again);
+    }
+    site.log.change(|log| log.outage = Outage::Refuse);
+    let refused = count_refused(&site, "pairs").await?;
+    println!("log out, all pairs whole: {refused} of {OUTAGE_REQUESTS} refused");
+    Ok(())
+}
+
+async fn count_refused(site: &Site, prefix: &str) -> Result<usize, Failed> {
+    let mut refused = 0;
+    for number in 0..OUTAGE_REQUESTS {
+        let callers = site.routers[number % ROUTERS].1.callers;
+        let (_, status) = call(callers, Some(&format!("{prefix}-{number}"))).await?;
+        refused += usize::from(status != 200);
+    }
+    Ok(refused)
+}
+
+async fn call(callers: SocketAddr, key: Option<&str>) -> Result<(Duration, u16), Failed> {
+    let bearer = format!("Bearer {EXAMPLE_KEY}");
+    let mut headers = vec![("authorization", bearer.as_str())];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    let begun = Instant::now();
+    let answer = client::call(callers, "POST /services/notices/a", &headers, "a").await?;
+    Ok((begun.elapsed(), answer.status))
+}
+
+fn print_latency(name: &str, mut times: Vec<Duration>) {
+    times.sort_unstable();
+    let at = |share: usize| times[(times.len() - 1) * share / 100].as_micros();
+    println!("  {name}: p50 {} us, p99 {} us", at(50), at(99));
+}
--- a/crates/embedded/tests/keys/fleet.rs
+++ b/crates/embedded/tests/keys/fleet.rs
@@ -1,16 +1,19 @@
 //! A small fleet whose routers can be stopped abruptly, each in a runtime of its own.
 
 use mallowpath::{
-    HostSettings, KEY_SHARDS, KeyHash, Router, RouterAddresses, RouterSettings, Sidecar,
-    SidecarSettings, key_shard, key_stream,
+    BILL_STREAMS, Bill, BillBatch, BillRecord, HostSettings, KEY_SHARDS, KeyHash, LogClient,
+    LogClientSettings, Offset, Router, RouterAddresses, RouterSettings, Sidecar, SidecarSettings,
+    key_shard, key_stream,
 };
 use mallowpath_embedded::{EXAMPLE_KEY, Site, SiteSettings};
 use mallowpath_standins::{
     client::{self, Answer},
-    host_list, plain_service,
+    forwarder, host_list, plain_service,
 };
+use prost::Message;
 use serde_json::Value;
 use std::{
+    collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
@@ -31,12 +34,18 @@
 pub struct RouterHost {
     pub router: Arc<Router>,
     pub addresses: RouterAddresses,
+    /// The way to the router for other routers.
+    pub peers: forwarder::Handle,
+    /// The way of the router to the log service.
+    pub log: forwarder::Handle,
     runtime: Option<Runtime>,
 }
 
 /// One server of the service `notices`.
 pub struct NoticesHost {
     pub service: plain_service::Handle,
+    /// The way to the sidecar.
+    pub peers: forwarder::Handle,
     _sidecar: Arc<Sidecar>,
     runtime: Option<Runtime>,
 }
@@ -79,7 +88,11 @@
     pub async fn add_router(&mut self) {
         let number = self.routers.len();
         let name = format!("router-{number}");
-        let host = self.place(&name, number);
+        let log = forward(self.site.log.address).await;
+        let host = HostSettings {
+            log_service: log.address,
+            ..self.place(&name, number)
+        };
         let settings = RouterSettings {
             host: host.clone(),
             callers_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
@@ -89,10 +102,13 @@
         let runtime = Runtime::new().expect("a runtime");
         let started = runtime.spawn(Router::start(settings)).await;
         let (router, addresses) = started.expect("no panic").expect("the router starts");
-        self.enter(&host, "router", addresses.peers).await;
+        let peers = forward(addresses.peers).await;
+        self.enter(&host, "router", peers.address).await;
         self.routers.push(RouterHost {
             router,
             addresses,
+            peers,
+            log,
             runtime: Some(runtime),
         });
     }
@@ -130,9 +146,11 @@
         let runtime = Runtime::new().expect("a runtime");
         let started = runtime.spawn(Sidecar::start(settings)).await;
         let (sidecar, addresses) = started.expect("no panic").expect("the sidecar starts");
-        self.enter(&host, "sidecar", addresses.peers).await;
+        let peers = forward(addresses.peers).await;
+        self.enter(&host, "sidecar", peers.address).await;
         self.notices.push(NoticesHost {
             service,
+            peers,
             _sidecar: sidecar,
             runtime: Some(runtime),
         });
@@ -209,6 +227,42 @@
         panic!("router {index} is {part} of no shard: {}", dump["keys"]);
     }
 
+    /// Returns the router that holds the shard of a key together with this one.
+    pub async fn other_holder(&self, index: usize, key: &str) -> usize {
+        let dump = self.dump(index).await;
+        let peer = &dump["keys"]["shards"][shard_of(key)]["peer"];
+        for (other, host) in self.routers.iter().enumerate() {
+            if *peer == host.peers.address.to_string() {
+                return other;
+            }
+        }
+        panic!("no router serves at {peer}");
+    }
+
+    /// Returns the bills in the log by request, first copies only.
+    pub async fn bills(&self) -> BTreeMap<String, BillRecord> {
+        let log = LogClient::new(self.site.log.address, LogClientSettings::default());
+        let mut bills = BTreeMap::new();
+        for number in 0..BILL_STREAMS {
+            let stream = format!("bills-{number:02}");
+            let page = log
+                .read(&stream, Offset(0), 1 << 20, 0)
+                .await
+                .expect("a page");
+            for record in page.records {
+                let batch = BillBatch::decode(record.data).expect("a batch");
+                for record in batch.bills {
+                    let bill = Bill::from_record(&record).expect("a bill");
+                    let first = bills
+                        .entry(bill.request.to_string())
+                        .or_insert(record.clone());
+                    assert_eq!(*first, record, "two copies of a bill differ");
+                }
+            }
+        }
+        bills
+    }
+
     pub fn callers(&self, index: usize) -> SocketAddr {
         self.routers[index].addresses.callers
     }
@@ -250,6 +304,21 @@
         .expect("an answer")
 }
 
+/// Posts a notice through the routers in turn until one of them takes the connection.
+pub async fn post_anywhere(fleet: &Fleet, first: usize, key: &str, body: &str) -> Answer {
+    for router in first..first + 100 {
+        let callers = fleet.callers(router % fleet.routers.len());
+        let bearer = format!("Bearer {EXAMPLE_KEY}");
+        let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+        let answer = client::call(callers, "POST /services/notices/post", &headers, body).await;
+        match answer {
+            Ok(answer) if answer.whole => return answer,
+            Ok(_) | Err(_) => tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await,
+        }
+    }
+    panic!("no router answers");
+}
+
 /// Asks again, as a caller does, until the answer is not `key_unavailable`.
 pub async fn insist(callers: SocketAddr, key: &str, body: &str) -> Answer {
     let give_up = Instant::now() + Duration::from_millis(READY_MS);
@@ -288,6 +357,16 @@
     }
 }
 
+async fn forward(target: SocketAddr) -> forwarder::Handle {
+    let settings = forwarder::Settings {
+        target,
+        ..forwarder::Settings::default()
+    };
+    forwarder::start(settings)
+        .await
+        .expect("the forwarder starts")
+}
+
 /// Returns the shard of a key of the example's workspace, as dumps name it.
 pub fn shard_of(key: &str) -> String {
     let hash = KeyHash::new(&"demo".parse().expect("a name"), key);
--- a/crates/embedded/tests/keys/healthy.rs
+++ b/crates/embedded/tests/keys/healthy.rs
@@ -1,37 +1,11 @@
 //! One run and one bill for each key, through any router.
 
 use crate::fleet::{Fleet, code, fast, insist, notice, post, request_id};
-use mallowpath::{BILL_STREAMS, Bill, BillBatch, BillRecord, LogClient, LogClientSettings, Offset};
-use prost::Message;
 use serde_json::json;
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 const CHAT: &str = "POST /v1/chat/completions";
 
-/// Returns the bills in the log by request, first copies only.
-async fn bills(fleet: &Fleet) -> BTreeMap<String, BillRecord> {
-    let log = LogClient::new(fleet.site.log.address, LogClientSettings::default());
-    let mut bills = BTreeMap::new();
-    for number in 0..BILL_STREAMS {
-        let stream = format!("bills-{number:02}");
-        let page = log
-            .read(&stream, Offset(0), 1 << 20, 0)
-            .await
-            .expect("a page");
-        for record in page.records {
-            let batch = BillBatch::decode(record.data).expect("a batch");
-            for record in batch.bills {
-                let bill = Bill::from_record(&record).expect("a bill");
-                let first = bills
-                    .entry(bill.request.to_string())
-                    .or_insert(record.clone());
-                assert_eq!(*first, record, "two copies of a bill differ");
-            }
-        }
-    }
-    bills
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn the_same_key_through_two_routers_at_once_runs_once() {
     let fleet = Fleet::start(2, fast()).await;
@@ -49,7 +23,7 @@
     }
     assert_eq!(fleet.runs().await, 30);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(bills(&fleet).await.len(), 30, "one bill for each key");
+    assert_eq!(fleet.bills().await.len(), 30, "one bill for each key");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -72,7 +46,7 @@
     assert_eq!(during.text, first.text);
     assert_eq!(after.text, first.text);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let bills = bills(&fleet).await;
+    let bills = fleet.bills().await;
     assert_eq!(bills.keys().collect::<Vec<_>>(), [&request_id(&first)]);
 }
 
--- /dev/null
+++ b/crates/embedded/tests/keys/history.rs
@@ -0,0 +1,129 @@
+//! Histories of concurrent requests with few keys, checked as registers that are set once.
+
+use crate::fleet::{Fleet, code, fast, post_anywhere, request_id};
+use mallowpath_standins::forwarder::Mode;
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use todc_utils::{
+    linearizability::{
+        WGLChecker,
+        history::{Action, History},
+    },
+    specifications::Specification,
+};
+
+const CLIENTS: usize = 6;
+const CALLS: usize = 25;
+const KEYS: usize = 7;
+const BODIES: [&str; 2] = ["one", "two"];
+
+/// What a request with a key did, as far as its caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum KeyOperation {
+    Asked,
+    /// It got the answer of the request with this identifier, which had this body.
+    Answered {
+        id: String,
+        body: usize,
+    },
+    /// The key was bound to a request with another body than this.
+    Reused {
+        body: usize,
+    },
+    NotRun,
+}
+
+struct KeyRegister;
+
+impl Specification for KeyRegister {
+    type State = Option<(String, usize)>;
+    type Operation = KeyOperation;
+
+    fn init() -> Self::State {
+        None
+    }
+
+    fn apply(op: &Self::Operation, state: &Self::State) -> (bool, Self::State) {
+        match (op, state) {
+            (KeyOperation::Answered { id, body }, None) => (true, Some((id.clone(), *body))),
+            (KeyOperation::Answered { id, body }, Some(bound)) => {
+                (*bound == (id.clone(), *body), state.clone())
+            }
+            (KeyOperation::Reused { body }, Some((_, bound))) => (bound != body, state.clone()),
+            (KeyOperation::NotRun, _) => (true, state.clone()),
+            (KeyOperation::Asked | KeyOperation::Reused { .. }, _) => (false, state.clone()),
+        }
+    }
+}
+
+type Actions = BTreeMap<usize, Vec<(usize, Action<KeyOperation>)>>;
+
+/// Asks as a caller that goes to another router when its own is lost.
+async fn client(fleet: Arc<Fleet>, number: usize, history: Arc<Mutex<Actions>>) {
+    for call in 0..CALLS {
+        let key = (call * 5 + number * 3) % KEYS;
+        let body = (call / KEYS + number) % BODIES.len();
+        let note = |action| {
+            let mut history = history.lock().expect("no panic");
+            history.entry(key).or_default().push((number, action));
+        };
+        note(Action::Call(KeyOperation::Asked));
+        let first = call + number;
+        let answer = post_anywhere(&fleet, first, &format!("key-{key}"), BODIES[body]).await;
+        note(Action::Response(match code(&answer).as_str() {
+            "" => KeyOperation::Answered {
+                id: request_id(&answer),
+                body,
+            },
+            "key_reused" => KeyOperation::Reused { body },
+            _ => {
+                assert_eq!(
+                    answer.json()["error"]["outcome"],
+                    "not_run",
+                    "{}",
+                    answer.text
+                );
+                KeyOperation::NotRun
+            }
+        }));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_are_set_once_while_holders_are_cut_and_lost() {
+    let fleet = Arc::new(Fleet::start(4, fast()).await);
+    let history = Arc::new(Mutex::new(Actions::new()));
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        let running = client(Arc::clone(&fleet), number, Arc::clone(&history));
+        clients.push(tokio::spawn(running));
+    }
+    // Others lose the way to one router, then to another while the first comes back.
+    for router in [1, 2] {
+        fleet.routers[router].peers.set_mode(Mode::Cut);
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        fleet.routers[router].peers.set_mode(Mode::Open);
+    }
+    for client in clients {
+        client.await.expect("no panic");
+    }
+    let history = history.lock().expect("no panic").clone();
+    let mut bound = 0;
+    for (key, actions) in &history {
+        let answered = |action: &(usize, Action<KeyOperation>)| {
+            matches!(action.1, Action::Response(KeyOperation::Answered { .. }))
+        };
+        bound += u64::from(actions.iter().any(answered));
+        let history = History::from_actions(actions.clone());
+        assert!(
+            WGLChecker::<KeyRegister>::is_linearizable(history),
+            "key {key}: {actions:?}"
+        );
+    }
+    assert!(bound > 0, "no key was answered");
+    assert_eq!(fleet.runs().await, bound, "one run for each key");
+}
--- a/crates/embedded/tests/keys/main.rs
+++ b/crates/embedded/tests/keys/main.rs
@@ -2,4 +2,6 @@
 
 mod fleet;
 mod healthy;
+mod history;
+mod outage;
 mod takeover;
--- a/crates/embedded/tests/keys/takeover.rs
+++ b/crates/embedded/tests/keys/takeover.rs
@@ -1,7 +1,8 @@
 //! Keys whose owner, witness, router or sidecar is lost.
 
-use crate::fleet::{Fleet, code, fast, insist, notice, request_id, wait_for};
-use std::time::Duration;
+use crate::fleet::{Fleet, code, fast, insist, notice, request_id, shard_of, wait_for};
+use mallowpath_standins::forwarder::Mode;
+use std::time::{Duration, Instant};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_lost_after_the_run_leaves_the_answer_to_its_witness() {
@@ -35,6 +36,12 @@
     assert_eq!(again.json()["run"], 1);
     assert!(first.await.is_err(), "the first caller got no answer");
     assert_eq!(fleet.runs().await, 1);
+    let id = request_id(&again);
+    wait_for("the router that attached brings the bill in", || async {
+        fleet.bills().await.contains_key(&id)
+    })
+    .await;
+    assert_eq!(fleet.bills().await.len(), 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -54,57 +61,109 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_shard_that_lost_both_holders_is_refused_not_run() {
     let mut fleet = Fleet::start(4, fast()).await;
-    let (key, index) = both_holders(&fleet).await;
-    for holder in index {
-        fleet.kill(holder);
-    }
-    let left = (0..4)
-        .find(|router| !index.contains(router))
+    let key = fleet.key_of(0, "owner", "both").await;
+    let other = fleet.other_holder(0, &key).await;
+    fleet.kill(0);
+    fleet.kill(other);
+    let left = (1..4)
+        .find(|router| *router != other)
         .expect("two are left");
-    let refused = notice(fleet.callers(left), &key, "a notice").await;
+    let refused = fleet.notice(left, &key, "a notice").await;
     assert_eq!(code(&refused), "key_unavailable", "{}", refused.text);
     assert_eq!(refused.json()["error"]["outcome"], "not_run");
     assert_eq!(fleet.runs().await, 0);
 }
 
-/// Returns a key and the two routers that hold its shard.
-async fn both_holders(fleet: &Fleet) -> (String, [usize; 2]) {
-    let key = fleet.key_of(0, "owner", "both").await;
-    let dump = fleet.dump(0).await;
-    let peer = dump["keys"]["shards"][&crate::fleet::shard_of(&key)]["peer"].clone();
-    for (index, host) in fleet.routers.iter().enumerate() {
-        if peer == host.addresses.peers.to_string() {
-            return (key, [0, index]);
-        }
-    }
-    panic!("no router serves at {peer}");
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_lost_between_commit_and_submit_leaves_the_key_to_the_next() {
+    let mut fleet = Fleet::start(3, fast()).await;
+    let key = fleet.key_of(1, "owner", "between").await;
+    let callers = fleet.callers(0);
+    // The key is bound, and the submit gets lost on its way.
+    fleet.notices[0].peers.set_mode(Mode::BlackHoleToTarget);
+    let first = {
+        let key = key.clone();
+        tokio::spawn(async move { notice(callers, &key, "a").await })
+    };
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.kill(0);
+    assert!(first.await.is_err(), "the first caller got no answer");
+    fleet.notices[0].peers.set_mode(Mode::Cut);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(fleet.runs().await, 0);
+    fleet.notices[0].peers.set_mode(Mode::Open);
+    fleet.wait_until_ready(2).await;
+    let answer = insist(fleet.callers(2), &key, "a").await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let again = insist(fleet.callers(1), &key, "a").await;
+    assert_eq!(again.text, answer.text);
+    assert_eq!(fleet.runs().await, 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_router_lost_between_commit_and_submit_leaves_the_key_to_the_next() {
+async fn a_request_that_every_server_refused_may_be_retried() {
     let mut settings = fast();
     settings.sidecar_tuning.max_running = 1;
-    let mut fleet = Fleet::start(3, settings).await;
-    fleet.slow_notices(1500);
-    // The only place is taken, so the next request is bound and not submitted for a while.
+    let fleet = Fleet::start(3, settings).await;
+    fleet.slow_notices(800);
     let blocker = {
         let callers = fleet.callers(1);
         tokio::spawn(async move { notice(callers, "blocker", "a").await })
     };
-    tokio::time::sleep(Duration::from_millis(200)).await;
-    let key = fleet.key_of(1, "owner", "between").await;
-    let refused = fleet.notice(0, &key, "b").await;
+    wait_for("the blocker runs", || async { fleet.runs().await == 1 }).await;
+    let refused = fleet.notice(0, "refused", "b").await;
     assert_eq!(
         refused.json()["error"]["outcome"],
         "not_run",
         "{}",
         refused.text
     );
-    fleet.kill(0);
+    // A later request of the same router must not drop the proof that the first never ran.
     assert_eq!(blocker.await.expect("a caller").status, 200);
-    let answer = insist(fleet.callers(2), &key, "b").await;
+    assert_eq!(fleet.notice(0, "later", "c").await.status, 200);
+    let answer = fleet.notice(2, "refused", "b").await;
     assert_eq!(answer.status, 200, "{}", answer.text);
-    assert_eq!(answer.json()["run"], 1);
+    assert_eq!(fleet.runs().await, 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stale_owner_binds_nothing_behind_a_takeover() {
+    let fleet = Fleet::start(4, fast()).await;
+    let key = fleet.key_of(0, "owner", "stale").await;
+    let fresh = fleet.key_of(0, "owner", "fresh").await;
+    let witness = fleet.other_holder(0, &fresh).await;
+    let first = fleet.notice(0, &key, "a").await;
+    assert_eq!(first.status, 200, "{}", first.text);
+    // Router 0 reaches everyone but the log, and nobody reaches it: it hears of no claim.
+    fleet.routers[0].log.set_mode(Mode::Cut);
+    fleet.routers[0].peers.set_mode(Mode::Cut);
+    wait_for("the witness is the owner", || async {
+        let dump = fleet.dump(witness).await;
+        dump["keys"]["shards"][shard_of(&fresh)]["part"] == "owner"
+    })
+    .await;
+    let dump = fleet.dump(0).await;
+    assert_eq!(
+        dump["keys"]["shards"][shard_of(&fresh)]["part"],
+        "owner",
+        "router 0 is stale"
+    );
+    let stale = fleet.notice(0, &fresh, "b").await;
+    assert_eq!(code(&stale), "key_unavailable", "{}", stale.text);
+    let answer = insist(fleet.callers(witness), &fresh, "b").await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+    let stale = fleet.notice(0, &fresh, "b").await;
+    assert_eq!(code(&stale), "key_unavailable", "{}", stale.text);
+    let again = fleet.notice(0, &key, "a").await;
+    assert_eq!(
+        again.text, first.text,
+        "an old binding still leads to its answer"
+    );
+    assert_eq!(fleet.runs().await, 2);
+    fleet.routers[0].log.set_mode(Mode::Open);
+    fleet.routers[0].peers.set_mode(Mode::Open);
+    let healed = insist(fleet.callers(0), &fresh, "b").await;
+    assert_eq!(healed.text, answer.text);
     assert_eq!(fleet.runs().await, 2);
 }
 
@@ -112,14 +171,23 @@
 async fn a_sidecar_lost_during_the_run_is_unknown_and_nothing_runs_again() {
     let mut fleet = Fleet::start(2, fast()).await;
     fleet.slow_notices(3000);
+    let begun = Instant::now();
     let first = {
         let callers = fleet.callers(0);
         tokio::spawn(async move { notice(callers, "lost", "a").await })
     };
     tokio::time::sleep(Duration::from_millis(300)).await;
     wait_for("the run began", || async { fleet.runs().await == 1 }).await;
+    // Another server could take the request now.
+    fleet.add_notices().await;
+    fleet.wait_until_ready(0).await;
     fleet.kill_notices(0);
     let first = first.await.expect("a caller");
+    let waited = begun.elapsed();
+    assert!(
+        waited < Duration::from_millis(2800),
+        "{waited:?}: not at once"
+    );
     assert_eq!(
         first.json()["error"]["outcome"],
         "unknown",
--- a/crates/mallowpath/src/bills.rs
+++ b/crates/mallowpath/src/bills.rs
@@ -157,8 +157,9 @@
     }
 
     fn is_safe(&self, request: RequestId) -> bool {
+        // Nothing is known any more of a request of another router whose bill is in the log.
         let state = self.book().state(request);
-        matches!(state, Some(BillState::Safe | BillState::Logged))
+        !matches!(state, Some(BillState::Reserved | BillState::Final))
     }
 
     /// Waits until a bill is safe; returns false when that takes too long.
@@ -180,13 +181,22 @@
 impl Router {
     /// Records a bill and waits until it is safe: in the log, or held in two zones.
     ///
-    /// The sidecar holds it already, so its zone counts if it is another one.
+    /// The sidecar holds it already, so its zone counts if it is another one. A bill of a request that
+    /// another router submitted is brought to the log as well, in case that one is lost; a second
+    /// copy in the log is void.
     pub(crate) async fn make_safe(self: &Arc<Self>, bill: Bill, attempt: &Attempt) -> bool {
         let request = bill.request;
         let record = bill.to_record();
         let safe = *attempt.sidecar_zone != *self.settings.host.zone.as_str();
-        self.bills.book().finish(bill, safe);
+        if request.incarnation == self.incarnation {
+            self.bills.book().finish(bill, safe);
+        } else {
+            let sidecar = Arc::clone(attempt.call.link());
+            self.bills.adopted_from().insert(request, sidecar);
+            self.bills.book().adopt(bill);
+        }
         if safe {
+            self.bills.book().acknowledged(request);
             return true;
         }
         let batch = BillBatch {
@@ -202,35 +212,6 @@
         self.bills.wait_until_safe(request).await
     }
 
-    /// Waits until a bill is safe whose request another router submitted.
-    ///
-    /// This router brings it to the log as well, in case the other one is lost; a second copy in the
-    /// log is void.
-    pub(crate) async fn share_bill(self: &Arc<Self>, bill: Bill, attempt: &Attempt) -> bool {
-        if bill.request.incarnation == self.incarnation {
-            return self.make_safe(bill, attempt).await;
-        }
-        let request = bill.request;
-        let link = Arc::clone(attempt.call.link());
-        self.bills.adopted_from().insert(request, link);
-        self.bills.book().adopt(bill);
-        if *attempt.sidecar_zone != *self.settings.host.zone.as_str() {
-            return true;
-        }
-        self.bills.book().hurry();
-        self.bills.urgent.notify_one();
-        let give_up = Instant::now() + Duration::from_millis(SAFE_MS);
-        while self.bills.book().state(request).is_some() {
-            let left = give_up.saturating_duration_since(Instant::now());
-            let changed = self.bills.changed.notified();
-            // Checked again, as the bill may have been logged before the wait began.
-            if self.bills.book().state(request).is_some() && timeout(left, changed).await.is_err() {
-                return false;
-            }
-        }
-        true
-    }
-
     /// Asks routers of other zones to keep a bill; with none at hand the log has to take it at once.
     async fn ask_witnesses(self: Arc<Self>, request: RequestId, keep: KeepBills) {
         for address in witness_addresses(&self.settings.host, &self.hosts()) {
--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -28,6 +28,8 @@
 
 /// How long a router tries to attach to a request again whose connection died.
 const REATTACH_MS: u64 = 5000;
+/// The same for a request that may not run twice, whose caller is to hear soon that it is lost.
+const REATTACH_ONCE_MS: u64 = 1000;
 const REATTACH_PAUSE_MS: u64 = 50;
 /// How long a sidecar may take to say that it stopped a request.
 const STOP_MS: u64 = 2000;
@@ -367,7 +369,12 @@
     /// Attaches to the same run on a new connection.
     async fn reattach(&self, job: &Job, attempt: &mut Attempt, delivery: &Delivery) -> bool {
         metrics::counter!("mallowpath_reattach_total").increment(1);
-        let give_up = Instant::now() + Duration::from_millis(REATTACH_MS);
+        let wait_ms = if job.repeatable {
+            REATTACH_MS
+        } else {
+            REATTACH_ONCE_MS
+        };
+        let give_up = Instant::now() + Duration::from_millis(wait_ms);
         while Instant::now() < give_up {
             let attach = Body::Attach(Attach {
                 request: job.id.into(),
--- a/crates/mallowpath/src/key_client.rs
+++ b/crates/mallowpath/src/key_client.rs
@@ -32,6 +32,13 @@
     pub(crate) body_hash: u64,
 }
 
+/// How an answer of an owner was got.
+#[derive(Debug, Clone, Copy, Default)]
+struct Asked {
+    epoch: u64,
+    asks: u32,
+}
+
 /// What a key is bound to.
 #[derive(Debug)]
 pub(crate) enum Bound {
@@ -83,22 +90,25 @@
 
 impl Router {
     /// Binds a key to a request, or says to what it is bound.
+    ///
+    /// Returns also whether it was asked more than once: then the key may have been bound to the
+    /// request and to another one after it.
     pub(crate) async fn bind_key(
         self: &Arc<Self>,
         key: &JobKey,
         wanted: &KeyEntry,
         displaced: Option<&KeyEntry>,
-    ) -> Bound {
+    ) -> (Bound, bool) {
         let ask = KeyAsk::Commit(KeyCommit {
             shard: key.shard,
             record: key.record(wanted),
             displaced: displaced.map(|entry| key.record(entry)),
         });
         match self.ask_owner(key, &ask).await {
-            (Bound::Other { entry, .. }, epoch) if is_same(&entry, wanted) => {
-                Bound::Own(submit_key(key, epoch))
+            (Bound::Other { entry, .. }, place) if is_same(&entry, wanted) => {
+                (Bound::Own(submit_key(key, place.epoch)), place.asks > 1)
             }
-            (bound, _) => bound,
+            (bound, place) => (bound, place.asks > 1),
         }
     }
 
@@ -130,9 +140,11 @@
     }
 
     /// Asks until an owner answers or the time is over.
-    async fn ask_owner(self: &Arc<Self>, key: &JobKey, ask: &KeyAsk) -> (Bound, u64) {
+    async fn ask_owner(self: &Arc<Self>, key: &JobKey, ask: &KeyAsk) -> (Bound, Asked) {
         let give_up = Instant::now() + Duration::from_millis(OWNER_MS);
+        let mut asked = Asked::default();
         loop {
+            asked.asks += 1;
             if let Some(KeyAnswer::Bound(answer)) = self.ask_current(key, ask).await {
                 let entry = answer.record.as_ref().and_then(KeyRecord::binding);
                 let bound = match (answer.kind(), entry) {
@@ -146,12 +158,13 @@
                     (KeyBoundKind::Bound | KeyBoundKind::Busy | KeyBoundKind::NotOwner, _) => None,
                 };
                 if let Some(bound) = bound {
-                    return (bound, answer.epoch);
+                    asked.epoch = answer.epoch;
+                    return (bound, asked);
                 }
             }
             if Instant::now() >= give_up {
                 metrics::counter!("mallowpath_key_refusals_total").increment(1);
-                return (Bound::Unavailable, 0);
+                return (Bound::Unavailable, asked);
             }
             tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
         }
--- a/crates/mallowpath/src/key_owner.rs
+++ b/crates/mallowpath/src/key_owner.rs
@@ -38,6 +38,7 @@
                 self.keys.with(dropped.shard, receive);
                 Some(KeyAnswer::Done(true))
             }
+            KeyAsk::Copy(_) if !self.keys.is_listed() => None,
             KeyAsk::Copy(part) => {
                 let receive = |shard: &mut Shard| shard.receive_part(part.clone());
                 self.keys.with(part.copy.shard, receive)
@@ -128,7 +129,7 @@
     }
 
     async fn held_by(&self, witness: &KeyPeer, update: KeyUpdate) -> Option<KeyAck> {
-        if *witness == self.keys.lone_witness() {
+        if self.keys.is_lone_witness(witness) {
             let record = update.record?;
             return Some(KeyAck {
                 shard: update.shard,
@@ -182,7 +183,7 @@
         let Some(witness) = self.keys.claim(number).and_then(|claim| claim.witness) else {
             return;
         };
-        if witness == self.keys.lone_witness() {
+        if self.keys.is_lone_witness(&witness) {
             return;
         }
         let router = Arc::clone(self);
--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -111,7 +111,9 @@
         let wanted = keyed.entry(&link);
         let displaced = keyed.displaced.take();
         let was_bound = std::mem::replace(&mut keyed.may_be_bound, true);
-        match self.bind_key(&keyed.key, &wanted, displaced.as_ref()).await {
+        let asked = self.bind_key(&keyed.key, &wanted, displaced.as_ref());
+        let (bound, repeated) = asked.await;
+        match bound {
             Bound::Own(submit_key) => {
                 keyed.tried.push(backend.clone());
                 let place = (backend, link);
@@ -121,9 +123,9 @@
             bound => {
                 self.settle(reservation, Tokens::ZERO);
                 if let Bound::Other { .. } = bound {
-                    // Another binding displaced this identifier, which must not be bound again.
-                    keyed.may_be_bound = was_bound;
-                    if was_bound {
+                    keyed.may_be_bound = was_bound || repeated;
+                    if keyed.may_be_bound {
+                        // The other binding may have displaced this one, which is not made again.
                         self.renew(keyed);
                     }
                 }
@@ -334,7 +336,7 @@
         let record = BillRecord::decode(end.bill.clone()).ok();
         let bill = record.as_ref().and_then(Bill::from_record);
         let safe = match bill {
-            Some(bill) => self.share_bill(bill, attempt).await,
+            Some(bill) => self.make_safe(bill, attempt).await,
             // The log has the bill already, or none is due.
             None => true,
         };
--- a/crates/mallowpath/src/key_takeover.rs
+++ b/crates/mallowpath/src/key_takeover.rs
@@ -16,6 +16,8 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 const TICK_MS: u64 = 100;
+/// Pause before routers are asked again to be the witness of a shard.
+const WITNESS_PAUSE_MS: u64 = 50;
 /// Pause before a claim whose fate is unknown is appended again.
 const APPEND_PAUSE_MS: u64 = 500;
 /// How often an answered append is looked for among the claims that were read.
@@ -42,6 +44,7 @@
         for workspace in router.fleet().workspaces.values() {
             follow_region(&router, &workspace.home_region);
         }
+        router.advertise_keys();
         router.keys.release_held();
         router.keys.measure();
         watch_peers(&router);
@@ -70,7 +73,7 @@
         let Some(other) = other_of(&claim, router.incarnation.0) else {
             continue;
         };
-        if other == router.keys.lone_witness() {
+        if router.keys.is_lone_witness(&other) {
             if !router.witnesses(number, None).is_empty() {
                 router.begin_claim(number, None);
             }
@@ -81,6 +84,14 @@
 }
 
 impl Router {
+    fn advertise_keys(&self) {
+        for host in &self.hosts().hosts {
+            if host.role == HostRole::Router && host.name == self.settings.host.name {
+                self.keys.advertise(host.address);
+            }
+        }
+    }
+
     /// Returns whether it is this router's turn to claim a shard that nobody has claimed.
     ///
     /// The first in rendezvous order begins; each further one waits for longer.
@@ -192,7 +203,7 @@
             return self.append_claim(&stream, claim).await;
         }
         log::debug!("no witness for key shard {number:08x}");
-        tokio::time::sleep(Duration::from_millis(APPEND_PAUSE_MS)).await;
+        tokio::time::sleep(Duration::from_millis(WITNESS_PAUSE_MS)).await;
     }
 
     /// Copies a table to the first router that takes it.
@@ -343,7 +354,7 @@
         let Ok(address) = peer.address.parse::<SocketAddr>() else {
             continue;
         };
-        if peer != router.keys.lone_witness() && seen.insert((address, peer.incarnation)) {
+        if !router.keys.is_lone_witness(&peer) && seen.insert((address, peer.incarnation)) {
             watch_peer(router, (address, peer.incarnation));
         }
     }
--- a/crates/mallowpath/src/key_task.rs
+++ b/crates/mallowpath/src/key_task.rs
@@ -35,13 +35,15 @@
 /// The key shards as one router sees them.
 #[derive(Debug)]
 pub(crate) struct Keys {
-    pub(crate) me: KeyPeer,
+    me: Incarnation,
     settings: KeySettings,
     state: Mutex<KeysState>,
 }
 
 #[derive(Debug, Default)]
 pub(crate) struct KeysState {
+    /// The address under which the host list has this router.
+    listed: Option<SocketAddr>,
     /// This router's part in the shards of its region.
     pub(crate) shards: BTreeMap<u32, Shard>,
     claims: HashMap<u32, RegionClaims>,
@@ -97,16 +99,9 @@
 }
 
 impl Keys {
-    pub(crate) fn new(
-        incarnation: Incarnation,
-        address: SocketAddr,
-        tuning: &RouterTuning,
-    ) -> Self {
+    pub(crate) fn new(me: Incarnation, tuning: &RouterTuning) -> Self {
         Self {
-            me: KeyPeer {
-                incarnation: incarnation.0,
-                address: address.to_string(),
-            },
+            me,
             settings: KeySettings {
                 keep_ms: tuning.key_keep_ms,
             },
@@ -127,8 +122,9 @@
     /// Works with one of the shards of the own region.
     pub(crate) fn with<T>(&self, shard: u32, work: impl FnOnce(&mut Shard) -> T) -> T {
         let mut state = self.state();
+        let me = state.peer(self.me);
         let place = state.shards.entry(shard).or_insert_with(|| Shard {
-            replica: KeyReplica::new(shard, self.me.clone(), self.settings),
+            replica: KeyReplica::new(shard, me, self.settings),
             assembling: None,
             claiming: false,
             logged_ms: now_ms(),
@@ -136,12 +132,30 @@
         work(place)
     }
 
-    /// The second holder in a fleet of one router: this same process under another number.
+    /// Returns the second holder in a fleet of one router: this same process under another number.
     pub(crate) fn lone_witness(&self) -> KeyPeer {
-        KeyPeer {
-            incarnation: self.me.incarnation ^ 1,
-            address: self.me.address.clone(),
+        self.state().peer(Incarnation(self.me.0 ^ 1))
+    }
+
+    /// Returns whether a holder is this process under its other number.
+    pub(crate) fn is_lone_witness(&self, peer: &KeyPeer) -> bool {
+        peer.incarnation == self.me.0 ^ 1
+    }
+
+    /// Takes the address at which others are to find this router.
+    pub(crate) fn advertise(&self, address: SocketAddr) {
+        let mut state = self.state();
+        if state.listed.replace(address) == Some(address) {
+            return;
         }
+        for shard in state.shards.values_mut() {
+            shard.replica.me.address = address.to_string();
+        }
+    }
+
+    /// Returns whether others can find this router, so that it may hold shards.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.state().listed.is_some()
     }
 
     /// Keeps sidecars from forgetting that a request, to which a key may be bound, never runs.
@@ -186,7 +200,7 @@
         let code = region_code(region);
         let shards = &state.claims.get(&code)?.shards;
         let first = (code..code + KEY_SHARDS).find_map(|shard| shards.claim(shard))?;
-        let mine = first.owner_incarnation().0 == self.me.incarnation;
+        let mine = first.owner_incarnation() == self.me;
         mine.then(|| KeysChange::Checkpoint(shards.checkpoint()).into())
     }
 
@@ -206,7 +220,7 @@
                     "epoch": replica.epoch(),
                     "frozen": replica.is_frozen(),
                     "keys": replica.len(),
-                    "peer": state.claim(*number).and_then(|claim| other_of(claim, self.me.incarnation)).map(|peer| peer.address),
+                    "peer": state.claim(*number).and_then(|claim| other_of(claim, self.me.0)).map(|peer| peer.address),
                 }),
             );
         }
@@ -281,6 +295,15 @@
 }
 
 impl KeysState {
+    /// Names this process under a number of its own.
+    fn peer(&self, incarnation: Incarnation) -> KeyPeer {
+        let address = self.listed.map(|address| address.to_string());
+        KeyPeer {
+            incarnation: incarnation.0,
+            address: address.unwrap_or_default(),
+        }
+    }
+
     pub(crate) fn claim(&self, shard: u32) -> Option<&Claim> {
         let claims = self.claims.get(&(shard & !(KEY_SHARDS - 1)))?;
         claims.shards.claim(shard)
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -116,7 +116,7 @@
                 configuration,
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
-                keys: Keys::new(incarnation, peers_address, &settings.tuning),
+                keys: Keys::new(incarnation, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 peers_seen: PeersSeen::default(),
                 hosts,
