Forget keys of refused requests and hand a leaving router's shards on

Cause: a request that was refused after its key was bound left the binding behind for good, as only finished keys expire; an overloaded fleet would have filled its memory with them. And a router that leaves kept its shards until it was gone, with a gap of key_takeover_ms.

Change: a router that gives a bound request up tells the owner, which forgets the binding with the same proof as for a rebind; a witness that keeps it does no harm, as the sidecar refuses the request. The model of key shards has late and repeated releases now, as operations that may be undone by a takeover. A holder that the host list calls leaving is replaced at once, while it still answers.

Ruled out: marking such keys as finished, as retries would be told that their request ran.

A router that attaches and leaves the bill to the first one passed the test of a lost owner, as the sidecar handed the bill over after 10 s; the test now looks after 1.5 s and fails.

--- a/crates/embedded/tests/keys/fleet.rs
+++ b/crates/embedded/tests/keys/fleet.rs
@@ -103,7 +103,7 @@
         let started = runtime.spawn(Router::start(settings)).await;
         let (router, addresses) = started.expect("no panic").expect("the router starts");
         let peers = forward(addresses.peers).await;
-        self.enter(&host, "router", peers.address).await;
+        self.enter(&host, "router", peers.address, "live").await;
         self.routers.push(RouterHost {
             router,
             addresses,
@@ -147,7 +147,7 @@
         let started = runtime.spawn(Sidecar::start(settings)).await;
         let (sidecar, addresses) = started.expect("no panic").expect("the sidecar starts");
         let peers = forward(addresses.peers).await;
-        self.enter(&host, "sidecar", peers.address).await;
+        self.enter(&host, "sidecar", peers.address, "live").await;
         self.notices.push(NoticesHost {
             service,
             peers,
@@ -185,14 +185,21 @@
         }
     }
 
-    async fn enter(&self, place: &HostSettings, role: &str, address: SocketAddr) {
+    /// Gives a router another state in the host list.
+    pub async fn list(&self, index: usize, state: &str) {
+        let place = self.place(&format!("router-{index}"), index);
+        let address = self.routers[index].peers.address;
+        self.enter(&place, "router", address, state).await;
+    }
+
+    async fn enter(&self, place: &HostSettings, role: &str, address: SocketAddr, state: &str) {
         let host = host_list::Host {
             name: place.name.to_string(),
             address,
             role: role.into(),
             availability_zone: place.zone.to_string(),
             region: place.region.to_string(),
-            state: "live".into(),
+            state: state.into(),
         };
         host_list::enter(self.site.hosts.address, &host)
             .await
--- a/crates/embedded/tests/keys/takeover.rs
+++ b/crates/embedded/tests/keys/takeover.rs
@@ -1,9 +1,11 @@
 //! Keys whose owner, witness, router or sidecar is lost.
 
-use crate::fleet::{Fleet, code, fast, insist, notice, request_id, shard_of, wait_for};
+use crate::fleet::{Fleet, code, fast, insist, notice, post, request_id, shard_of, wait_for};
 use mallowpath_standins::forwarder::Mode;
 use std::time::{Duration, Instant};
 
+const NOTICE: &str = "POST /services/notices/post";
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_owner_lost_after_the_run_leaves_the_answer_to_its_witness() {
     let mut fleet = Fleet::start(3, fast()).await;
@@ -36,11 +38,9 @@
     assert_eq!(again.json()["run"], 1);
     assert!(first.await.is_err(), "the first caller got no answer");
     assert_eq!(fleet.runs().await, 1);
-    let id = request_id(&again);
-    wait_for("the router that attached brings the bill in", || async {
-        fleet.bills().await.contains_key(&id)
-    })
-    .await;
+    // Long before the sidecar takes the first router for lost and hands its bills over.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert!(fleet.bills().await.contains_key(&request_id(&again)));
     assert_eq!(fleet.bills().await.len(), 1);
 }
 
@@ -58,6 +58,26 @@
     assert_eq!(fleet.runs().await, 2);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_router_hands_its_shards_on_while_it_still_answers() {
+    let fleet = Fleet::start(3, fast()).await;
+    let key = fleet.key_of(0, "owner", "leaving").await;
+    let first = fleet.notice(0, &key, "a").await;
+    fleet.list(0, "leaving").await;
+    wait_for("router 0 holds no shard", || async {
+        let dump = fleet.dump(0).await;
+        dump["keys"]["shards"]
+            .as_object()
+            .is_some_and(serde_json::Map::is_empty)
+    })
+    .await;
+    for router in [0, 1, 2] {
+        let again = fleet.notice(router, &key, "a").await;
+        assert_eq!(again.text, first.text);
+    }
+    assert_eq!(fleet.runs().await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_shard_that_lost_both_holders_is_refused_not_run() {
     let mut fleet = Fleet::start(4, fast()).await;
@@ -108,20 +128,26 @@
     fleet.slow_notices(800);
     let blocker = {
         let callers = fleet.callers(1);
-        tokio::spawn(async move { notice(callers, "blocker", "a").await })
+        tokio::spawn(async move { post(callers, NOTICE, None, "a").await })
     };
     wait_for("the blocker runs", || async { fleet.runs().await == 1 }).await;
-    let refused = fleet.notice(0, "refused", "b").await;
+    let key = fleet.key_of(1, "owner", "refused").await;
+    let refused = fleet.notice(0, &key, "b").await;
     assert_eq!(
         refused.json()["error"]["outcome"],
         "not_run",
         "{}",
         refused.text
     );
-    // A later request of the same router must not drop the proof that the first never ran.
+    for router in [1, fleet.other_holder(1, &key).await] {
+        wait_for("the key is forgotten", || async {
+            fleet.dump(router).await["keys"]["shards"][shard_of(&key)]["keys"] == 0
+        })
+        .await;
+    }
     assert_eq!(blocker.await.expect("a caller").status, 200);
     assert_eq!(fleet.notice(0, "later", "c").await.status, 200);
-    let answer = fleet.notice(2, "refused", "b").await;
+    let answer = fleet.notice(2, &key, "b").await;
     assert_eq!(answer.status, 200, "{}", answer.text);
     assert_eq!(fleet.runs().await, 3);
 }
--- a/crates/mallowpath/src/key_call.rs
+++ b/crates/mallowpath/src/key_call.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct KeyCall {
     /// What is asked.
-    #[prost(oneof = "KeyAsk", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "KeyAsk", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub ask: Option<KeyAsk>,
 }
 
@@ -31,6 +31,9 @@
     /// Claimant to its next witness: hold a part of a table.
     #[prost(message, tag = "6")]
     Copy(KeyCopyPart),
+    /// Router to owner: the request of a binding never runs, the key may be forgotten.
+    #[prost(message, tag = "7")]
+    Release(KeyRelease),
 }
 
 /// Asks to bind a key to a request.
@@ -72,6 +75,17 @@
     pub record: KeyRecord,
 }
 
+/// Tells that the request of a binding never runs.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeyRelease {
+    /// The shard.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// The binding.
+    #[prost(message, required, tag = "2")]
+    pub record: KeyRecord,
+}
+
 /// A part of a table, small enough for one frame.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct KeyCopyPart {
--- a/crates/mallowpath/src/key_client.rs
+++ b/crates/mallowpath/src/key_client.rs
@@ -1,7 +1,7 @@
 //! A router's calls to the owner of a key shard, wherever it is at the moment.
 
 use crate::{
-    KeyAnswer, KeyAsk, KeyBoundKind, KeyCommit, KeyFinish, KeyLookup, KeyRecord,
+    KeyAnswer, KeyAsk, KeyBoundKind, KeyCommit, KeyFinish, KeyLookup, KeyRecord, KeyRelease,
     job::Job,
     key::{KeyEntry, KeyHash},
     key_owner::is_same,
@@ -20,9 +20,9 @@
 /// How long a request waits for the owner of its key.
 const OWNER_MS: u64 = 1000;
 const PAUSE_MS: u64 = 20;
-const FINISH_PAUSE_MS: u64 = 1000;
-/// How often a router tries to tell of the end of a run.
-const FINISH_TRIES: u32 = 30;
+const TELL_PAUSE_MS: u64 = 1000;
+/// How often a router tries to tell an owner what became of a request.
+const TELL_TRIES: u32 = 30;
 
 /// The key of a request.
 #[derive(Debug, Clone, Copy)]
@@ -128,13 +128,27 @@
             shard: key.shard,
             record: key.record(entry),
         });
+        self.tell_owner(key, ask);
+    }
+
+    /// Tells the owner of a key that a binding's request never runs.
+    pub(crate) fn release_key(self: &Arc<Self>, key: JobKey, entry: &KeyEntry) {
+        let ask = KeyAsk::Release(KeyRelease {
+            shard: key.shard,
+            record: key.record(entry),
+        });
+        self.tell_owner(key, ask);
+    }
+
+    /// Tells the owner of a key in the background, and again while nobody owns it.
+    fn tell_owner(self: &Arc<Self>, key: JobKey, ask: KeyAsk) {
         let router = Arc::clone(self);
         tokio::spawn(async move {
-            for _ in 0..FINISH_TRIES {
+            for _ in 0..TELL_TRIES {
                 if router.ask_current(&key, &ask).await.is_some() {
                     return;
                 }
-                tokio::time::sleep(Duration::from_millis(FINISH_PAUSE_MS)).await;
+                tokio::time::sleep(Duration::from_millis(TELL_PAUSE_MS)).await;
             }
         });
     }
--- a/crates/mallowpath/src/key_owner.rs
+++ b/crates/mallowpath/src/key_owner.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CommitAnswer, KeyAck, KeyAnswer, KeyAsk, KeyBound, KeyBoundKind, KeyCommit, KeyCopyPart,
-    KeyFinish, KeyLookup, KeyPeer, KeyRecord, KeyReply, KeyUpdate,
+    KeyDrop, KeyFinish, KeyLookup, KeyPeer, KeyRecord, KeyRelease, KeyReply, KeyUpdate,
     key::{KeyEntry, KeyHash},
     key_task::{Shard, key_call},
     link::now_ms,
@@ -29,6 +29,7 @@
             KeyAsk::Commit(commit) => Some(KeyAnswer::Bound(self.commit_key(&commit).await)),
             KeyAsk::Lookup(lookup) => Some(KeyAnswer::Bound(self.look_up_key(&lookup))),
             KeyAsk::Finish(finish) => self.finish_key(&finish),
+            KeyAsk::Release(release) => self.release_key_at_owner(&release),
             KeyAsk::Update(update) => {
                 let receive = |shard: &mut Shard| shard.replica.receive_update(&update);
                 self.keys.with(update.shard, receive).map(KeyAnswer::Ack)
@@ -111,6 +112,19 @@
         Some(KeyAnswer::Done(true))
     }
 
+    /// Forgets a binding whose request never runs; no answer asks the router to come again.
+    fn release_key_at_owner(self: &Arc<Self>, release: &KeyRelease) -> Option<KeyAnswer> {
+        let (key, entry) = release.record.binding()?;
+        let forget = |shard: &mut Shard| {
+            let replica = &mut shard.replica;
+            let ready = replica.is_owner() && !replica.is_frozen();
+            ready.then(|| replica.release(key, &entry))
+        };
+        let dropped = self.keys.with(release.shard, forget)?;
+        self.drop_at_witness(release.shard, dropped.into_iter().collect());
+        Some(KeyAnswer::Done(true))
+    }
+
     /// Has the witness hold an update, and commits it with the witness's answer.
     async fn replicate(&self, update: KeyUpdate) {
         let Some(claim) = self.keys.claim(update.shard) else {
@@ -177,6 +191,10 @@
             let router = Arc::clone(self);
             tokio::spawn(async move { router.replicate(update).await });
         }
+        self.drop_at_witness(number, dropped);
+    }
+
+    fn drop_at_witness(self: &Arc<Self>, number: u32, dropped: Vec<KeyDrop>) {
         if dropped.is_empty() {
             return;
         }
--- a/crates/mallowpath/src/key_replica.rs
+++ b/crates/mallowpath/src/key_replica.rs
@@ -165,6 +165,23 @@
         CommitAnswer::New(self.update(record))
     }
 
+    /// Unbinds a key as owner, and returns what tells the witness.
+    ///
+    /// The caller has the same proof as for [`rebind`](Self::rebind). A witness that keeps the binding
+    /// does no harm: the sidecar that it names refuses the request.
+    pub fn release(&mut self, key: KeyHash, old: &KeyEntry) -> Option<KeyDrop> {
+        if !self.is_owner() || self.is_frozen() {
+            return None;
+        }
+        let slot = self.table.get(key)?;
+        if slot.entry != *old || slot.finished {
+            return None;
+        }
+        let revision = slot.revision;
+        self.table.remove(key, revision);
+        Some(self.dropped(key, revision))
+    }
+
     /// Takes the witness's acknowledgement as owner, and returns the binding that it commits.
     pub fn acknowledge(&mut self, ack: &KeyAck) -> Option<(KeyHash, KeyEntry)> {
         if !self.is_owner() || self.is_frozen() || ack.epoch != self.epoch {
@@ -204,13 +221,7 @@
             return drops;
         }
         while let Some((key, revision)) = self.table.expire_one(self.settings.keep_ms, now_ms) {
-            let key = key.0.to_vec();
-            drops.push(KeyDrop {
-                shard: self.shard,
-                epoch: self.epoch,
-                key,
-                revision,
-            });
+            drops.push(self.dropped(key, revision));
         }
         drops
     }
@@ -267,6 +278,15 @@
         self.table.remove(KeyHash(key), dropped.revision);
     }
 
+    fn dropped(&self, key: KeyHash, revision: u64) -> KeyDrop {
+        KeyDrop {
+            shard: self.shard,
+            epoch: self.epoch,
+            key: key.0.to_vec(),
+            revision,
+        }
+    }
+
     fn update(&self, record: KeyRecord) -> KeyUpdate {
         KeyUpdate {
             shard: self.shard,
--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -42,6 +42,8 @@
     displaced: Option<KeyEntry>,
     /// Whether the key may be bound to `job.id`.
     may_be_bound: bool,
+    /// The last binding that was asked for.
+    wanted: Option<KeyEntry>,
     /// Whether `job.id` ran or may have run.
     submitted: bool,
     last: Option<Refusal>,
@@ -76,6 +78,7 @@
             tried: Vec::new(),
             displaced: None,
             may_be_bound: false,
+            wanted: None,
             submitted: false,
             last: None,
         };
@@ -111,6 +114,7 @@
         let wanted = keyed.entry(&link);
         let displaced = keyed.displaced.take();
         let was_bound = std::mem::replace(&mut keyed.may_be_bound, true);
+        keyed.wanted = Some(wanted.clone());
         let asked = self.bind_key(&keyed.key, &wanted, displaced.as_ref());
         let (bound, repeated) = asked.await;
         match bound {
@@ -344,20 +348,23 @@
     }
 
     /// Takes another identifier, as the present one was displaced.
-    fn renew(&self, keyed: &mut KeyedJob) {
+    fn renew(self: &Arc<Self>, keyed: &mut KeyedJob) {
         self.close_unused(keyed);
         keyed.job.id = self.next_request();
         keyed.may_be_bound = false;
     }
 
     /// Closes the identifier of a request that surely did not run under it.
-    fn close_unused(&self, keyed: &KeyedJob) {
+    fn close_unused(self: &Arc<Self>, keyed: &KeyedJob) {
         if keyed.submitted {
             return;
         }
         let id: RequestId = keyed.job.id;
         if keyed.may_be_bound {
             self.keys.hold(id);
+            if let Some(wanted) = &keyed.wanted {
+                self.release_key(keyed.key, wanted);
+            }
         }
         self.bills.abandon(id);
     }
--- a/crates/mallowpath/src/key_takeover.rs
+++ b/crates/mallowpath/src/key_takeover.rs
@@ -149,11 +149,16 @@
         elsewhere
     }
 
-    /// Returns whether the other holder of a shard has been out of reach for long.
+    /// Returns whether the other holder of a shard has been out of reach for long or is leaving.
     fn is_lost(&self, peer: &KeyPeer) -> bool {
         let Ok(address) = peer.address.parse::<SocketAddr>() else {
             return true;
         };
+        let leaving =
+            |host: &HostEntry| host.address == address && host.state == HostState::Leaving;
+        if self.hosts().hosts.iter().any(leaving) {
+            return true;
+        }
         let state = self.keys.state();
         let Some(health) = state.peers.get(&(address, peer.incarnation)) else {
             return false;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -203,7 +203,7 @@
 };
 pub use key_call::{
     KeyAnswer, KeyAsk, KeyBound, KeyBoundKind, KeyCall, KeyCommit, KeyCopyPart, KeyFinish,
-    KeyLookup, KeyReply,
+    KeyLookup, KeyRelease, KeyReply,
 };
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
--- a/crates/mallowpath/tests/key_shards.rs
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -3,9 +3,9 @@
 
 use mallowpath::{
     AttachAnswer, Claim, ClaimEvidence, ClaimVerdict, CommitAnswer, Fence, FenceDone, FenceTarget,
-    Incarnation, KeyAck, KeyCopy, KeyCopyHeld, KeyEntry, KeyEpoch, KeyHash, KeyLog, KeyPeer,
-    KeyRecord, KeyReplica, KeySettings, KeyShards, KeyUpdate, KeysChange, KeysRecord, Members,
-    MembersChange, Offset, RequestId, RunKey, RunSettings, RunTable, Submit, SubmitAnswer,
+    Incarnation, KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyEntry, KeyEpoch, KeyHash, KeyLog,
+    KeyPeer, KeyRecord, KeyReplica, KeySettings, KeyShards, KeyUpdate, KeysChange, KeysRecord,
+    Members, MembersChange, Offset, RequestId, RunKey, RunSettings, RunTable, Submit, SubmitAnswer,
     WorkspaceId, confirmed_hash, key_shard, recover_keys,
 };
 use proptest::{
@@ -27,6 +27,8 @@
 const SIDECARS: u64 = 3;
 const KEYS: u8 = 2;
 const MAX_REQUESTS: usize = 10;
+/// Every request with such a number unbinds the key of a run that never starts.
+const RELEASING: usize = 3;
 
 fn peer(incarnation: u64) -> KeyPeer {
     KeyPeer {
@@ -98,7 +100,7 @@
 #[derive(Debug, Clone)]
 struct Bind {
     from: Vec<Option<u64>>,
-    to: u64,
+    to: Option<u64>,
     answered: bool,
 }
 
@@ -114,7 +116,7 @@
 
     fn apply(op: &Bind, state: &Self::State) -> (bool, Self::State) {
         if op.from.contains(state) {
-            return (true, Some(op.to));
+            return (true, op.to);
         }
         // An operation without an answer may also have had no effect.
         (!op.answered, *state)
@@ -132,6 +134,8 @@
 enum Message {
     Update(Route, KeyUpdate),
     Ack(usize, KeyAck),
+    Release(usize, u8, KeyEntry),
+    Drop(usize, KeyDrop),
     Copy(Route, KeyCopy),
     Held(usize, KeyCopyHeld),
     Append(Claim),
@@ -156,6 +160,7 @@
     batches: Vec<KeyLog>,
     requests: Vec<Request>,
     history: Vec<(u8, usize, Action<usize>)>,
+    releases: Vec<(u8, Bind)>,
     starts: Vec<(u8, RequestId)>,
     crashes: u64,
     may_force: bool,
@@ -187,6 +192,7 @@
             batches: Vec::new(),
             requests: Vec::new(),
             history: Vec::new(),
+            releases: Vec::new(),
             starts: Vec::new(),
             crashes: 0,
             may_force,
@@ -313,7 +319,7 @@
         let entry = entry(number as u64, u64::from(b / KEYS) % SIDECARS);
         let bind = Bind {
             from: Vec::new(),
-            to: number as u64,
+            to: Some(number as u64),
             answered: false,
         };
         self.requests.push(Request { key, entry, bind });
@@ -348,8 +354,11 @@
         }
         let Request { key, entry, bind } = &self.requests[number];
         let from = Some(held.request_id.sequence);
-        if bind.from.iter().any(|earlier| *earlier != from) {
+        let displaced = bind.from.iter().any(|earlier| *earlier != from);
+        if displaced || number.is_multiple_of(RELEASING) {
             // The request was offered before and may have been displaced; its id is not used again.
+            self.network
+                .push(Message::Release(process, *key, held.clone()));
             return;
         }
         let (key, entry) = (KeyHash([*key; 16]), entry.clone());
@@ -357,6 +366,23 @@
         self.answered(process, number, from, answer);
     }
 
+    /// Unbinds the key of a request that never starts.
+    fn release(&mut self, process: usize, key: u8, held: &KeyEntry) {
+        let Some(dropped) = self.processes[process].release(KeyHash([key; 16]), held) else {
+            return;
+        };
+        // It lasts only if no process keeps the binding, so it is taken as never answered.
+        let bind = Bind {
+            from: vec![Some(held.request_id.sequence)],
+            to: None,
+            answered: false,
+        };
+        self.releases.push((key, bind));
+        for to in 0..PROCESSES {
+            self.network.push(Message::Drop(to, dropped.clone()));
+        }
+    }
+
     fn answered(&mut self, process: usize, number: usize, from: Option<u64>, answer: CommitAnswer) {
         match answer {
             CommitAnswer::New(update) => {
@@ -395,6 +421,8 @@
                     self.committed(to, number);
                 }
             }
+            Message::Release(to, key, held) => self.release(to, key, &held),
+            Message::Drop(to, dropped) => self.processes[to].receive_drop(&dropped),
             Message::Copy(Route { from, to }, copy) => {
                 let held = self.processes[to].receive_copy(copy);
                 self.network
@@ -455,6 +483,11 @@
             }
             let mut actions = Vec::new();
             let mut open = Vec::new();
+            for (number, (of_key, bind)) in self.releases.iter().enumerate() {
+                if *of_key == key {
+                    open.push((MAX_REQUESTS + number, bind.clone()));
+                }
+            }
             for (of_key, number, action) in &self.history {
                 if *of_key != key {
                     continue;
@@ -603,10 +636,29 @@
     assert_eq!(a.acknowledge(&first_ack), None);
     assert!(b.receive_update(&second).is_some());
     assert_eq!(b.receive_update(&first), None);
+    assert_eq!(a.release(key, &entry(1, 0)), None);
     install(&mut b, &mut c);
     assert_eq!(b.commit(key, entry(3, 0), 0), existing(entry(2, 0)));
 }
 
+#[test]
+fn a_released_key_is_free_at_owner_and_witness() {
+    let (mut a, mut b) = (replica(1), replica(2));
+    install(&mut a, &mut b);
+    let key = KeyHash([1; 16]);
+    committed(&mut a, &mut b, key, entry(1, 0));
+    let dropped = a
+        .release(key, &entry(1, 0))
+        .expect("the binding is unchanged");
+    b.receive_drop(&dropped);
+    assert!(a.is_empty() && b.is_empty());
+    assert!(matches!(
+        a.commit(key, entry(2, 0), 0),
+        CommitAnswer::New(_)
+    ));
+    b.receive_drop(&dropped);
+}
+
 #[test]
 fn a_finished_key_expires_at_owner_and_witness() {
     let (mut a, mut b) = (replica(1), replica(2));
