--- a/crates/mallowpath/src/key_client.rs
+++ b/crates/mallowpath/src/key_client.rs
@@ -1,7 +1,7 @@
 //! A router's calls to the owner of a key shard, wherever it is at the moment.
 
 use crate::{
-    KeyAnswer, KeyAsk, KeyBoundKind, KeyCommit, KeyFinish, KeyLookup, KeyRecord,
+    KeyAnswer, KeyAsk, KeyBoundKind, KeyCommit, KeyFinish, KeyLookup, KeyRecord, KeyRelease,
     job::Job,
     key::{KeyEntry, KeyHash},
     key_owner::is_same,
@@ -20,9 +20,9 @@
 /// How long a request waits for the owner of its key.
 const OWNER_MS: u64 = 1000;
 const PAUSE_MS: u64 = 20;
-const FINISH_PAUSE_MS: u64 = 1000;
-/// How often a router tries to tell of the end of a run.
-const FINISH_TRIES: u32 = 30;
+const TELL_PAUSE_MS: u64 = 1000;
+/// How often a router tries to tell an owner what became of a request.
+const TELL_TRIES: u32 = 30;
 
 /// The key of a request.
 #[derive(Debug, Clone, Copy)]
@@ -32,6 +32,13 @@
     pub(crate) body_hash: u64,
 }
 
+/// How an answer of an owner was got.
+#[derive(Debug, Clone, Copy, Default)]
+struct Asked {
+    epoch: u64,
+    asks: u32,
+}
+
 /// What a key is bound to.
 #[derive(Debug)]
 pub(crate) enum Bound {
@@ -83,22 +90,25 @@
 
 impl Router {
     /// Binds a key to a request, or says to what it is bound.
+    ///
+    /// Returns also whether it was asked more than once: then the key may have been bound to the
+    /// request and to another one after it.
     pub(crate) async fn bind_key(
         self: &Arc<Self>,
         key: &JobKey,
         wanted: &KeyEntry,
         displaced: Option<&KeyEntry>,
-    ) -> Bound {
+    ) -> (Bound, bool) {
         let ask = KeyAsk::Commit(KeyCommit {
             shard: key.shard,
             record: key.record(wanted),
             displaced: displaced.map(|entry| key.record(entry)),
         });
         match self.ask_owner(key, &ask).await {
-            (Bound::Other { entry, .. }, epoch) if is_same(&entry, wanted) => {
-                Bound::Own(submit_key(key, epoch))
+            (Bound::Other { entry, .. }, place) if is_same(&entry, wanted) => {
+                (Bound::Own(submit_key(key, place.epoch)), place.asks > 1)
             }
-            (bound, _) => bound,
+            (bound, place) => (bound, place.asks > 1),
         }
     }
 
@@ -118,21 +128,37 @@
             shard: key.shard,
             record: key.record(entry),
         });
+        self.tell_owner(key, ask);
+    }
+
+    /// Tells the owner of a key that a binding's request never runs.
+    pub(crate) fn release_key(self: &Arc<Self>, key: JobKey, entry: &KeyEntry) {
+        let ask = KeyAsk::Release(KeyRelease {
+            shard: key.shard,
+            record: key.record(entry),
+        });
+        self.tell_owner(key, ask);
+    }
+
+    /// Tells the owner of a key in the background, and again while nobody owns it.
+    fn tell_owner(self: &Arc<Self>, key: JobKey, ask: KeyAsk) {
         let router = Arc::clone(self);
         tokio::spawn(async move {
-            for _ in 0..FINISH_TRIES {
+            for _ in 0..TELL_TRIES {
                 if router.ask_current(&key, &ask).await.is_some() {
                     return;
                 }
-                tokio::time::sleep(Duration::from_millis(FINISH_PAUSE_MS)).await;
+                tokio::time::sleep(Duration::from_millis(TELL_PAUSE_MS)).await;
             }
         });
     }
 
     /// Asks until an owner answers or the time is over.
-    async fn ask_owner(self: &Arc<Self>, key: &JobKey, ask: &KeyAsk) -> (Bound, u64) {
+    async fn ask_owner(self: &Arc<Self>, key: &JobKey, ask: &KeyAsk) -> (Bound, Asked) {
         let give_up = Instant::now() + Duration::from_millis(OWNER_MS);
+        let mut asked = Asked::default();
         loop {
+            asked.asks += 1;
             if let Some(KeyAnswer::Bound(answer)) = self.ask_current(key, ask).await {
                 let entry = answer.record.as_ref().and_then(KeyRecord::binding);
                 let bound = match (answer.kind(), entry) {
@@ -146,12 +172,13 @@
                     (KeyBoundKind::Bound | KeyBoundKind::Busy | KeyBoundKind::NotOwner, _) => None,
                 };
                 if let Some(bound) = bound {
-                    return (bound, answer.epoch);
+                    asked.epoch = answer.epoch;
+                    return (bound, asked);
                 }
             }
             if Instant::now() >= give_up {
                 metrics::counter!("mallowpath_key_refusals_total").increment(1);
-                return (Bound::Unavailable, 0);
+                return (Bound::Unavailable, asked);
             }
             tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
         }
--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -43,6 +43,8 @@
     displaced: Option<KeyEntry>,
     /// Whether the key may be bound to `job.id`.
     may_be_bound: bool,
+    /// The last binding that was asked for.
+    wanted: Option<KeyEntry>,
     /// Whether `job.id` ran or may have run.
     submitted: bool,
     last: Option<Refusal>,
@@ -77,6 +79,7 @@
             tried: Vec::new(),
             displaced: None,
             may_be_bound: false,
+            wanted: None,
             submitted: false,
             last: None,
         };
@@ -111,7 +114,10 @@
         let wanted = keyed.entry(&chosen.link);
         let displaced = keyed.displaced.take();
         let was_bound = std::mem::replace(&mut keyed.may_be_bound, true);
-        match self.bind_key(&keyed.key, &wanted, displaced.as_ref()).await {
+        keyed.wanted = Some(wanted.clone());
+        let asked = self.bind_key(&keyed.key, &wanted, displaced.as_ref());
+        let (bound, repeated) = asked.await;
+        match bound {
             Bound::Own(submit_key) => {
                 keyed.tried.push(chosen.backend.clone());
                 let admitted = (permit, reservation);
@@ -121,9 +127,9 @@
             bound => {
                 self.settle(reservation, Tokens::ZERO);
                 if let Bound::Other { .. } = bound {
-                    // Another binding displaced this identifier, which must not be bound again.
-                    keyed.may_be_bound = was_bound;
-                    if was_bound {
+                    keyed.may_be_bound = was_bound || repeated;
+                    if keyed.may_be_bound {
+                        // The other binding may have displaced this one, which is not made again.
                         self.renew(keyed);
                     }
                 }
@@ -337,7 +343,7 @@
         let record = BillRecord::decode(end.bill.clone()).ok();
         let bill = record.as_ref().and_then(Bill::from_record);
         let safe = match bill {
-            Some(bill) => self.share_bill(bill, attempt).await,
+            Some(bill) => self.make_safe(bill, attempt).await,
             // The log has the bill already, or none is due.
             None => true,
         };
@@ -345,20 +351,23 @@
     }
 
     /// Takes another identifier, as the present one was displaced.
-    fn renew(&self, keyed: &mut KeyedJob) {
+    fn renew(self: &Arc<Self>, keyed: &mut KeyedJob) {
         self.close_unused(keyed);
         keyed.job.id = self.next_request();
         keyed.may_be_bound = false;
     }
 
     /// Closes the identifier of a request that surely did not run under it.
-    fn close_unused(&self, keyed: &KeyedJob) {
+    fn close_unused(self: &Arc<Self>, keyed: &KeyedJob) {
         if keyed.submitted {
             return;
         }
         let id: RequestId = keyed.job.id;
         if keyed.may_be_bound {
             self.keys.hold(id);
+            if let Some(wanted) = &keyed.wanted {
+                self.release_key(keyed.key, wanted);
+            }
         }
         self.bills.abandon(id);
     }
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -131,7 +131,7 @@
                 configuration: Configuration::default(),
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
-                keys: Keys::new(incarnation, peers_address, &settings.tuning),
+                keys: Keys::new(incarnation, &settings.tuning),
                 admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 orders: OrderDesk::default(),
