--- a/crates/e2e/src/call.rs
+++ b/crates/e2e/src/call.rs
@@ -1,5 +1,6 @@
 //! One call of a caller and what came of it.
 
+use crate::Failure;
 use mallowpath::RequestId;
 use mallowpath_standins::client;
 use serde_json::{Value, json};
@@ -91,6 +92,19 @@
         (request, self.read(&answer))
     }
 
+    /// Sends the call and leaves before the answer ends, once its head is there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the router gives no answer.
+    pub async fn send_and_leave(&self, router: SocketAddr) -> Result<(), Failure> {
+        let authorization = format!("Bearer {BEARER_KEY}");
+        let headers = [("authorization", authorization.as_str())];
+        let path = "POST /v1/chat/completions";
+        client::open(router, path, &headers, &self.body()).await?;
+        Ok(())
+    }
+
     fn body(&self) -> String {
         if let CallKind::Plain(_) = self.kind {
             return self.prompt.clone();
--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -8,8 +8,8 @@
 };
 use mallowpath::{
     BudgetId, Incarnation, IniDocument, LEDGER_SHARDS, LedgerBatch, LedgerEntry, LedgerRecord,
-    LogClient, LogClientSettings, PeerTiming, RequestId, Tokens, TopUpRecord, ledger_stream,
-    publish, sections_of, shard_of,
+    LogClient, LogClientSettings, PeerTiming, Published, RequestId, Tokens, TopUpRecord,
+    ledger_stream, publish, sections_of, shard_of,
 };
 use mallowpath_standins::{client, engine, host_list, log_service, plain_service};
 use prost::Message;
@@ -121,7 +121,7 @@
             settings,
             folder: make_folder()?,
         };
-        cluster.publish().await?;
+        cluster.publish(cluster.settings.budget, "operator").await?;
         cluster.start_sidecars()?;
         for number in 0..cluster.settings.routers {
             cluster.start_router(number)?;
@@ -154,24 +154,45 @@
         BUDGET.parse().expect("the name is valid")
     }
 
-    async fn publish(&self) -> Result<(), Failure> {
+    /// Publishes the configuration with another size of the budget.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`mallowpath::publish`] does.
+    pub async fn publish(&self, budget: Tokens, author: &str) -> Result<Published, Failure> {
+        self.publish_with(budget, "", author).await
+    }
+
+    /// Publishes the configuration with another size of the budget and further sections.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`mallowpath::publish`] does.
+    pub async fn publish_with(
+        &self,
+        budget: Tokens,
+        more: &str,
+        author: &str,
+    ) -> Result<Published, Failure> {
         let mut text = format!(
             "[workspace demo]\n\
              key_sha256 = c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c\n\
              budget = {BUDGET}\nservices = *\nhome_region = {REGION}\n\
-             [budget {BUDGET}]\nworkspace = demo\ntokens = {}\n\
-             [service {MODEL}]\nkind = model\nmax_output_tokens = 4096\ntimeout_ms = 20000\n",
-            self.settings.budget
+             [budget {BUDGET}]\nworkspace = demo\ntokens = {budget}\n\
+             [service {MODEL}]\nkind = model\nmax_output_tokens = 4096\ntimeout_ms = 20000\n"
         );
         for (service, _) in &self.settings.services {
-            text.push_str("[service ");
-            text.push_str(service);
-            text.push_str("]\nkind = plain\ntokens_per_call = 3\ntimeout_ms = 20000\n");
+            let header = format!("[service {service}]\n");
+            if text.contains(&header) {
+                continue;
+            }
+            text.push_str(&header);
+            text.push_str("kind = plain\ntokens_per_call = 3\ntimeout_ms = 20000\n");
         }
+        text.push_str(more);
         let mut document = IniDocument::default();
         document.merge_text("fleet.ini", &text);
-        publish(&self.log_client(), &sections_of(&document), "operator").await?;
-        Ok(())
+        Ok(publish(&self.log_client(), &sections_of(&document), author).await?)
     }
 
     fn start_sidecars(&mut self) -> Result<(), Failure> {
@@ -467,8 +488,8 @@
     }
 }
 
-/// Returns the state of a process as its admin listener gives it.
-pub(crate) async fn dump(admin: SocketAddr) -> Value {
+/// Returns the state of a process as its admin listener gives it, or null.
+pub async fn dump(admin: SocketAddr) -> Value {
     match client::call(admin, "GET /dump", &[], "").await {
         Ok(answer) => answer.json(),
         Err(_) => Value::Null,
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use call::{Answer, Call, CallKind, Operation};
 pub use check::{Verdicts, check_answers, check_bills, check_budget, check_runs};
-pub use cluster::{Cluster, ClusterSettings, RouterProcess, SidecarProcess};
+pub use cluster::{Cluster, ClusterSettings, RouterProcess, SidecarProcess, dump};
 pub use error::Failure;
 pub use history::{History, expect_whole};
 pub use linear::{BudgetCounter, BudgetOperation, is_budget_linearizable};
--- a/crates/e2e/tests/frozen.rs
+++ b/crates/e2e/tests/frozen.rs
@@ -1,6 +1,10 @@
 //! Processes that are paused for seconds and then go on as if nothing had happened.
 
-use mallowpath_e2e::{Call, CallKind, Cluster, ClusterSettings, Failure, History, expect_whole};
+use mallowpath::Tokens;
+use mallowpath_e2e::{
+    Call, CallKind, Cluster, ClusterSettings, Failure, History, expect_whole,
+    is_budget_linearizable,
+};
 use std::time::Duration;
 use tokio::{task::JoinHandle, time::sleep};
 
@@ -56,3 +60,38 @@
     cluster.verify(&history, 4_000).await?;
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_thawed_router_spends_only_what_it_held() -> Result<(), Failure> {
+    let settings = ClusterSettings {
+        budget: Tokens(1_200),
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start(settings).await?;
+    let routers = cluster.callers();
+    let history = History::new();
+    let call = |caller, number| Call {
+        prompt: format!("caller {caller:02} booking {number:04}"),
+        max_tokens: 20,
+        ..Call::default()
+    };
+    let mut callers = history.spawn_callers(&routers[..1], 3, 1_000, call);
+    for caller in callers.drain(..) {
+        caller.await?;
+    }
+    // The router keeps slices that it believes to hold, while the other one spends the rest.
+    cluster.routers[0].process.freeze();
+    let callers = history.spawn_callers(&routers[1..], 3, 5_500, call);
+    sleep(Duration::from_millis(FROZEN_MS)).await;
+    cluster.routers[0].process.thaw();
+    let late = history.spawn_callers(&routers[..1], 3, 6_500, call);
+    for caller in callers.into_iter().chain(late) {
+        caller.await?;
+    }
+    let content = cluster.verify(&history, 4_000).await?;
+    let billed = content.billed(&cluster.budget());
+    assert!(billed > Tokens(1_000), "only {billed} tokens were of use");
+    let operations = history.operations();
+    assert!(is_budget_linearizable(&operations, &[(0, 1_200)]));
+    Ok(())
+}
--- /dev/null
+++ b/crates/e2e/tests/operators.rs
@@ -0,0 +1,80 @@
+//! Operators that publish at the same time, and routers that lose the log.
+
+use mallowpath::{Published, Tokens};
+use mallowpath_e2e::{Cluster, ClusterSettings, Failure, History, dump};
+use mallowpath_standins::forwarder::Mode;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// An accepted version is in force everywhere within this time.
+const IN_FORCE_MS: u64 = 7_000;
+const POLL_MS: u64 = 50;
+const ROUNDS: u64 = 5;
+
+/// Waits until every router is at a version; fails when one goes back or is late.
+async fn in_force_everywhere(cluster: &Cluster, version: u64) -> Result<u64, Failure> {
+    let history = History::new();
+    let mut seen = vec![0; cluster.routers.len()];
+    while history.now_ms() < IN_FORCE_MS {
+        for (router, last) in cluster.routers.iter().zip(&mut seen) {
+            let now = dump(router.admin).await["config_version"].as_u64();
+            let now = now.unwrap_or(*last);
+            if now < *last {
+                return Err(format!("{} went from {last} back to {now}", router.name).into());
+            }
+            *last = now;
+        }
+        if seen.iter().all(|now| *now >= version) {
+            return Ok(history.now_ms());
+        }
+        sleep(Duration::from_millis(POLL_MS)).await;
+    }
+    Err(format!("routers are at {seen:?} in place of {version}").into())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_of_two_racing_operators_wins_and_the_other_is_told() -> Result<(), Failure> {
+    let cluster = Cluster::start(ClusterSettings::default()).await?;
+    let mut lost = 0;
+    for round in 1..=ROUNDS {
+        let (anna, bryn) = tokio::join!(
+            cluster.publish(Tokens(1_000_000 + round), "anna"),
+            cluster.publish(Tokens(2_000_000 + round), "bryn"),
+        );
+        let mut newest = 0;
+        for (published, other) in [(anna?, "bryn"), (bryn?, "anna")] {
+            match published {
+                Published::Accepted(version) => newest = newest.max(version.0),
+                Published::Lost { author, .. } => {
+                    assert_eq!(author, other);
+                    lost += 1;
+                }
+                Published::Unchanged(version) => panic!("nothing changed at {version}"),
+            }
+        }
+        assert!(newest > 0, "one of two has to win");
+        in_force_everywhere(&cluster, newest).await?;
+    }
+    println!("{lost} of {ROUNDS} races had a loser");
+    assert!(lost > 0, "both operators won every race");
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_lost_the_log_follows_its_peers() -> Result<(), Failure> {
+    let settings = ClusterSettings {
+        forward_log: true,
+        ..ClusterSettings::default()
+    };
+    let cluster = Cluster::start(settings).await?;
+    let way = cluster.network.between("router-0", "log");
+    way.set_mode(Mode::BlackHole).await;
+    for round in 1..=2 {
+        let tokens = Tokens(3_000_000 + round);
+        let Published::Accepted(version) = cluster.publish(tokens, "anna").await? else {
+            return Err("nobody else publishes".into());
+        };
+        in_force_everywhere(&cluster, version.0).await?;
+    }
+    Ok(())
+}
