--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -13,8 +13,8 @@
     limbo,
     link::{Call, Link, now_ms},
     refusal::{Code, Outcome, Refusal},
+    reservation::Reservation,
     router::Router,
-    wallet::Reservation,
     wire::{Attach, Body, Chunk, End, Head, SlicePart, Submit},
 };
 use bytes::Bytes;
@@ -335,6 +335,16 @@
                     let refusal = Refusal::not_run(Code::BackendRefused, text);
                     return Ended::NotRun(refusal.after(refused.retry_after_ms));
                 }
+                Ok(Some(Body::CallFailed(failed))) => {
+                    log::warn!(
+                        "{} can't say how {} went: {}",
+                        attempt.address,
+                        job.id,
+                        failed.code
+                    );
+                    attempt.call.finish();
+                    return Ended::Lost;
+                }
                 Ok(_) => {
                     if !self.reattach(job, attempt, delivery).await {
                         return Ended::Lost;
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -23,12 +23,19 @@
     pub horizon_ms: u64,
     /// One draw or slice takes at most what is left divided by this, unless a request needs more.
     pub share_divisor: u64,
+    /// One draw takes at least what is left divided by this, so that budgets used seldom
+    /// don't cost a record a request.
+    pub floor_divisor: u64,
     /// A grant of a budget that had no request for this long is returned.
     pub idle_ms: u64,
-    /// The same while nothing is left outside of grants.
+    /// The same while most of what is unspent is in grants.
     pub scarce_idle_ms: u64,
     /// A batch not read back after this long is appended again.
     pub retry_ms: u64,
+    /// The time between two new batches in the long run.
+    pub batch_interval_ms: u64,
+    /// How many batches may run ahead of that, so that a first request needn't wait.
+    pub batch_burst: u64,
     /// The most records of one batch.
     pub max_batch_records: usize,
 }
@@ -42,8 +49,11 @@
     accounts: BTreeMap<BudgetId, Account>,
     fenced: BTreeSet<Incarnation>,
     last_grant: u64,
+    /// Sequence numbers of grants that are drawn or held.
+    open_grants: BTreeSet<u64>,
     last_slice: u64,
     outbox: Outbox,
+    closing: bool,
     revoked: bool,
 }
 
@@ -57,8 +67,10 @@
             accounts: BTreeMap::new(),
             fenced: BTreeSet::new(),
             last_grant: 0,
+            open_grants: BTreeSet::new(),
             last_slice: 0,
             outbox: Outbox::new(incarnation),
+            closing: false,
             revoked: false,
         }
     }
@@ -114,23 +126,48 @@
             Effect::Granted(tokens) => self.outbox.push(LedgerRecord::close(grant, tokens)),
             Effect::Returned(_) => {
                 account.grants.remove(&grant.sequence);
+                self.open_grants.remove(&grant.sequence);
             }
             Effect::Reclaimed(_) => {
                 // Others proved what this incarnation left unspent, so it was fenced.
                 account.grants.remove(&grant.sequence);
+                self.open_grants.remove(&grant.sequence);
                 self.revoked = true;
             }
+            _ if drawn => {
+                self.open_grants.remove(&grant.sequence);
+            }
             _ => {}
         }
     }
 
-    /// Answers a router's request for tokens.
+    /// Answers a router's request for tokens for good.
     pub fn request(&mut self, request: &SliceRequest, now_ms: u64) -> SliceReply {
         let answer = self.answer(request, now_ms);
-        let oldest_open_grant = self.oldest_open_grant(&request.budget);
+        if !matches!(answer, SliceAnswer::UnknownBudget | SliceAnswer::Stale) {
+            // A refusal is kept as well: a late copy of the request must not open a slice, as the
+            // router has moved on to its next request by then.
+            self.keep_answer(request, &answer, now_ms);
+        }
+        self.reply(request, answer)
+    }
+
+    /// Answers a request like [`Keeper::request`], except that a shortage is not final.
+    ///
+    /// As long as no copy of the request was answered by [`Keeper::request`], the caller may wait
+    /// for the draw and ask again.
+    pub fn offer(&mut self, request: &SliceRequest, now_ms: u64) -> SliceReply {
+        let answer = self.answer(request, now_ms);
+        if matches!(answer, SliceAnswer::Granted(_) | SliceAnswer::Exhausted) {
+            self.keep_answer(request, &answer, now_ms);
+        }
+        self.reply(request, answer)
+    }
+
+    fn reply(&self, request: &SliceRequest, answer: SliceAnswer) -> SliceReply {
         SliceReply {
             number: request.number,
-            oldest_open_grant,
+            oldest_open_grant: self.oldest_open_grant(),
             unspent: self
                 .ledger
                 .balance(&request.budget)
@@ -156,16 +193,16 @@
                 return SliceAnswer::Stale;
             }
         }
-        let answer = self.decide(request, balance, now_ms);
-        // A refusal is kept as well: a late copy of the request must not open a slice, as the router
-        // has moved on to its next request by then.
+        self.decide(request, balance, now_ms)
+    }
+
+    fn keep_answer(&mut self, request: &SliceRequest, answer: &SliceAnswer, now_ms: u64) {
         let account = account_mut(&mut self.accounts, &self.settings, &request.budget, now_ms);
         let answered = Answered {
             number: request.number,
             answer: answer.clone(),
         };
         account.answered.insert(request.router, answered);
-        answer
     }
 
     fn decide(&mut self, request: &SliceRequest, balance: Balance, now_ms: u64) -> SliceAnswer {
@@ -179,10 +216,11 @@
             }
             self.draw(&request.budget, needed.saturating_sub(free), now_ms);
             return SliceAnswer::Short {
-                retry_after_ms: self.retry_after_ms(),
+                retry_after_ms: self.outbox.wait_ms(&self.settings),
             };
         }
-        let share = Tokens(free.saturating_add(balance.left()).0 / self.settings.share_divisor);
+        let reachable = free.saturating_add(balance.left());
+        let share = Tokens(reachable.0 / self.settings.share_divisor.max(1));
         let tokens = request.expected.min(share).max(needed).min(free);
         account.rate.add(tokens, now_ms);
         let slices = account.cut(request, tokens, self.incarnation, &mut self.last_slice);
@@ -190,20 +228,11 @@
         SliceAnswer::Granted(slices)
     }
 
-    fn oldest_open_grant(&self, budget: &BudgetId) -> u64 {
-        let Some(account) = self.accounts.get(budget) else {
-            return self.last_grant + 1;
-        };
-        let held = account.grants.keys().next().copied();
-        let oldest = held.or(account.draw);
-        oldest.unwrap_or(self.last_grant + 1)
-    }
-
-    fn retry_after_ms(&self) -> u64 {
-        let attempts = self.outbox.attempts();
-        self.settings
-            .retry_ms
-            .saturating_mul(attempts.clamp(1, MAX_RETRY_FACTOR))
+    fn oldest_open_grant(&self) -> u64 {
+        self.open_grants
+            .first()
+            .copied()
+            .unwrap_or(self.last_grant + 1)
     }
 
     /// Draws when less is free than half a horizon's use.
@@ -223,15 +252,16 @@
             return;
         };
         let account = account_mut(&mut self.accounts, &self.settings, budget, now_ms);
-        if account.draw.is_some() || balance.left() == Tokens::ZERO {
+        if self.closing || account.draw.is_some() || balance.left() == Tokens::ZERO {
             return;
         }
-        let share = Tokens(balance.left().0 / self.settings.share_divisor);
-        let tokens = account.rate.expected(now_ms).min(share).max(needed);
+        let expected = account.rate.expected(now_ms);
+        let tokens = self.settings.size(expected, balance.left()).max(needed);
         if tokens == Tokens::ZERO {
             return;
         }
         self.last_grant += 1;
+        self.open_grants.insert(self.last_grant);
         account.draw = Some(self.last_grant);
         let grant = GrantId {
             incarnation: self.incarnation,
@@ -308,8 +338,9 @@
         }
     }
 
-    /// Returns all grants from now on as soon as no slice of them is out.
+    /// Returns all grants from now on as soon as no slice of them is out, and draws no more.
     pub fn close(&mut self) {
+        self.closing = true;
         self.settings.idle_ms = 0;
         self.settings.scarce_idle_ms = 0;
     }
@@ -343,11 +374,11 @@
     }
 
     fn close_grants(&mut self, budget: &BudgetId, now_ms: u64) {
-        let left = self.ledger.balance(budget).unwrap_or_default().left();
+        let balance = self.ledger.balance(budget).unwrap_or_default();
         let Some(account) = self.accounts.get_mut(budget) else {
             return;
         };
-        let scarce = left == Tokens::ZERO;
+        let scarce = balance.left().0 <= balance.unspent().0 / self.settings.share_divisor.max(1);
         let idle_ms = if scarce {
             self.settings.scarce_idle_ms
         } else {
@@ -373,30 +404,35 @@
     ///
     /// One batch is under way at a time. It is returned again, unchanged, until it is read back.
     pub fn batch(&mut self, now_ms: u64) -> Option<LedgerBatch> {
-        self.outbox.batch(
-            self.settings.retry_ms,
-            self.settings.max_batch_records,
-            now_ms,
-        )
+        self.outbox.batch(&self.settings, now_ms)
     }
 }
 
 /// An account without grants is forgotten after this many idle periods.
 ///
 /// A copy of a request that arrives later still can strand a slice until this incarnation ends.
-const FORGET_IDLE_PERIODS: u64 = 60;
+const FORGET_IDLE_PERIODS: u64 = 6;
 
-/// The longest wait asked of a router, in retry periods.
-const MAX_RETRY_FACTOR: u64 = 10;
+impl KeeperSettings {
+    /// Returns how much to draw of what is left for an expected use.
+    fn size(&self, expected: Tokens, left: Tokens) -> Tokens {
+        let most = Tokens(left.0 / self.share_divisor.max(1));
+        let least = Tokens(left.0 / self.floor_divisor.max(1));
+        expected.max(least).min(most)
+    }
+}
 
 impl Default for KeeperSettings {
     fn default() -> Self {
         Self {
             horizon_ms: 2_000,
             share_divisor: 8,
-            idle_ms: 10_000,
+            floor_divisor: 256,
+            idle_ms: 600_000,
             scarce_idle_ms: 1_000,
             retry_ms: 500,
+            batch_interval_ms: 1_000,
+            batch_burst: 8,
             max_batch_records: 4_096,
         }
     }
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
-    bills::{Bills, LOST_ROUTER_MS},
+    bills::Bills,
     budgets::Budgets,
+    callers::serve_callers,
     config_task,
     configuration::Configuration,
     dialer::Dialer,
@@ -17,6 +18,7 @@
     job::Job,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
+    order_task::OrderDesk,
     peers::{sidecar_addresses, witness_addresses},
     refusal::Refusal,
     route::RouteSettings,
@@ -53,12 +55,15 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) orders: OrderDesk,
     routes: Routes,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
     /// Whether there is a configuration.
     loaded: AtomicBool,
     draining: AtomicBool,
+    /// Cancelled when callers' connections are to end behind their answers.
+    closing: CancellationToken,
     /// Cancelled when the process may end.
     ended: CancellationToken,
 }
@@ -116,10 +121,12 @@
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                orders: OrderDesk::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
                 loaded: AtomicBool::new(false),
                 draining: AtomicBool::new(false),
+                closing: CancellationToken::new(),
                 ended: CancellationToken::new(),
                 settings,
             }
@@ -139,16 +146,15 @@
 
     fn spawn_tasks(self: &Arc<Self>, callers: TcpListener, peers: TcpListener) {
         let app = front::routes(Arc::clone(self));
-        tokio::spawn(async move {
-            if let Err(error) = axum::serve(callers, app).await {
-                log::error!("the callers' listener ended: {error}");
-            }
-        });
+        let header_timeout_ms = self.settings.tuning.header_timeout_ms;
+        let closing = self.closing.clone();
+        tokio::spawn(serve_callers(callers, app, header_timeout_ms, closing));
         tokio::spawn(Arc::clone(self).accept(peers));
         tokio::spawn(Arc::clone(self).follow_hosts());
         tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -163,6 +169,7 @@
                 router.settings.tuning.drain_notice_ms,
             ))
             .await;
+            router.closing.cancel();
             router.running.idle().await;
             crate::bills::settle_all(&router).await;
             crate::budgets::return_all(&router).await;
@@ -252,6 +259,7 @@
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "orders": self.orders.dump(),
         })
     }
 
@@ -297,6 +305,7 @@
         } else {
             let leaving = self.backend_state(&link.peer().backend) != "active";
             self.routes.heard(link, heartbeat, leaving);
+            self.orders.heard(link, &heartbeat.ordered);
         }
     }
 
@@ -328,7 +337,7 @@
         link.closed().await;
         self.configuration.peer_lost(&link);
         self.peers_seen.closed(peer);
-        tokio::time::sleep(Duration::from_millis(LOST_ROUTER_MS)).await;
+        tokio::time::sleep(Duration::from_millis(self.settings.timing.lost_router_ms)).await;
         if !self.peers_seen.is_open(peer) {
             self.bills.adopt_from_shelf(peer);
         }
