Write the operators' page; show the configuration's state as metrics

Cause: nothing told a person on call what each failure looks like, and the metrics held neither the configuration's version and age nor whether a process takes work.

Tests: the page names every metric of the source and no other, log lines and fields that are there, and commands that exist.

--- /dev/null
+++ b/crates/ctl/tests/operators_page.rs
@@ -0,0 +1,88 @@
+//! The operators' page names what there is.
+
+use mallowpathctl::{INVALID, OK, run};
+use std::{collections::BTreeSet, fs, path::Path};
+
+const PAGE: &str = include_str!("../../../docs/OPERATORS.md");
+
+fn source() -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../mallowpath/src");
+    let mut source = String::new();
+    for entry in fs::read_dir(folder).expect("the library's source") {
+        let path = entry.expect("a file").path();
+        source += &fs::read_to_string(path).expect("a text");
+    }
+    source
+}
+
+/// Returns the words between single backticks that start with `prefix`.
+fn quoted(text: &str, prefix: &str) -> BTreeSet<String> {
+    let mut found = BTreeSet::new();
+    for word in text.split('`') {
+        if word.starts_with(prefix) && !word.contains(char::is_whitespace) {
+            found.insert(word.to_owned());
+        }
+    }
+    found
+}
+
+#[test]
+fn every_metric_is_on_the_page_and_no_other() {
+    let mut known = BTreeSet::new();
+    for word in source().split('"') {
+        let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
+        if word.starts_with("mallowpath_") && word.chars().all(is_name) {
+            known.insert(word.to_owned());
+        }
+    }
+    assert_eq!(quoted(PAGE, "mallowpath_"), known);
+}
+
+#[test]
+fn quoted_log_lines_and_fields_are_in_the_source() {
+    let source = source();
+    for text in [
+        "no configuration from the log service",
+        "no configuration from peers",
+        "draining, {} requests go on",
+        "bills that routers still hold",
+        "is lost, logging {} bills for it",
+        "is silent for {} ms",
+        "\"no_work\"",
+        "\"host_state\"",
+        "\"hosts_age_ms\"",
+        "\"config_author\"",
+        "\"requests_without_bill\"",
+        "\"in_one_zone\"",
+        "\"in_two_zones\"",
+        "\"held\"",
+        "\"bills_kept\"",
+    ] {
+        assert!(source.contains(text), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn every_command_of_the_page_exists() {
+    let mut count = 0;
+    for line in PAGE.split(['`', '\n']) {
+        let Some(rest) = line.trim().strip_prefix("mallowpathctl ") else {
+            continue;
+        };
+        let mut words = Vec::new();
+        for word in rest.split(' ') {
+            if word != "budget" && !words.is_empty() && words != ["budget"] {
+                break;
+            }
+            words.push(word.to_owned());
+        }
+        if words == ["COMMAND"] {
+            continue;
+        }
+        words.push("--help".to_owned());
+        assert_eq!(run(&words).await.status, OK, "{words:?}");
+        count += 1;
+    }
+    assert!(count > 8);
+    assert_eq!(run(&["nothing".to_owned()]).await.status, INVALID);
+}
--- a/crates/mallowpath/src/admin.rs
+++ b/crates/mallowpath/src/admin.rs
@@ -31,6 +31,8 @@
     pub ready: Arc<dyn Fn() -> bool + Send + Sync>,
     /// Describes the whole state of the process.
     pub dump: Arc<dyn Fn() -> Value + Send + Sync>,
+    /// Sets the gauges that show the state, before they are read.
+    pub refresh: Arc<dyn Fn() + Send + Sync>,
     /// Starts a graceful shutdown.
     pub drain: Arc<dyn Fn() + Send + Sync>,
 }
@@ -42,7 +44,7 @@
     let app = Router::new()
         .route("/live", get(|| async { "live\n" }))
         .route("/ready", get(ready))
-        .route("/metrics", get(|| async { recorder().render() }))
+        .route("/metrics", get(metrics))
         .route("/dump", get(dump))
         .route("/drain", post(drain))
         .with_state(hooks);
@@ -92,6 +94,11 @@
     }
 }
 
+async fn metrics(State(hooks): State<Hooks>) -> String {
+    (hooks.refresh)();
+    recorder().render()
+}
+
 async fn dump(State(hooks): State<Hooks>) -> Json<Value> {
     Json((hooks.dump)())
 }
--- a/crates/mallowpath/src/configuration.rs
+++ b/crates/mallowpath/src/configuration.rs
@@ -14,6 +14,7 @@
     wire::{ConfigRecords, Heartbeat},
 };
 use bytes::Bytes;
+use metrics::gauge;
 use prost::Message;
 use std::{
     collections::{HashMap, VecDeque},
@@ -41,6 +42,15 @@
     links: HashMap<HostId, Arc<Link>>,
 }
 
+/// Sets the gauges of the configuration; an age that is not known is not shown as one.
+pub(crate) fn config_gauges(version: Version, age_ms: Option<u64>) {
+    gauge!("mallowpath_config_version").set(version.0 as f64);
+    gauge!("mallowpath_config_confirmed").set(f64::from(u8::from(age_ms.is_some())));
+    if let Some(age_ms) = age_ms {
+        gauge!("mallowpath_config_age_ms").set(age_ms as f64);
+    }
+}
+
 impl Configuration {
     /// Returns the configuration in force.
     pub(crate) fn fleet(&self) -> Arc<Fleet> {
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -8,7 +8,7 @@
     budgets::Budgets,
     callers::serve_callers,
     config_task,
-    configuration::Configuration,
+    configuration::{Configuration, config_gauges},
     dialer::Dialer,
     error::Result,
     fleet::{BackendMode, Fleet},
@@ -29,6 +29,7 @@
     settings::{HostSettings, RouterSettings},
     wire::{Heartbeat, Hello},
 };
+use metrics::gauge;
 use serde_json::{Value, json};
 use std::{
     fmt::{self, Display},
@@ -266,14 +267,23 @@
     fn hooks(self: &Arc<Self>) -> Hooks {
         let ready = Arc::clone(self);
         let dump = Arc::clone(self);
+        let refresh = Arc::clone(self);
         let drain = Arc::clone(self);
         Hooks {
             ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dump.dump()),
+            refresh: Arc::new(move || refresh.set_gauges()),
             drain: Arc::new(move || drain.drain()),
         }
     }
 
+    fn set_gauges(&self) {
+        config_gauges(self.config_version(), self.config_age_ms());
+        gauge!("mallowpath_ready").set(f64::from(u8::from(self.is_ready())));
+        gauge!("mallowpath_requests_in_progress").set(self.running.count() as f64);
+        gauge!("mallowpath_backends_taking_work").set(self.connected_backends() as f64);
+    }
+
     fn heartbeat(&self, peer: &Hello) -> Heartbeat {
         let mut heartbeat = Heartbeat {
             accepting: self.is_ready(),
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -7,6 +7,7 @@
     bill::BillBatch,
     bill_book::BillWatermark,
     bill_shelf::BillShelf,
+    configuration::config_gauges,
     engine::Engine,
     error::Result,
     host_client::{HostClient, HostClientSettings},
@@ -23,6 +24,7 @@
     standing::{NoWork, Standing},
     wire::{Body, End, Head, Heartbeat, Hello, KeepBills, Load},
 };
+use metrics::gauge;
 use prost::Message;
 use serde_json::{Value, json};
 use std::{
@@ -328,14 +330,25 @@
     fn hooks(self: &Arc<Self>) -> Hooks {
         let ready = Arc::clone(self);
         let dump = Arc::clone(self);
+        let refresh = Arc::clone(self);
         let drain = Arc::clone(self);
         Hooks {
             ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dump.dump()),
+            refresh: Arc::new(move || refresh.set_gauges()),
             drain: Arc::new(move || drain.drain()),
         }
     }
 
+    fn set_gauges(&self) {
+        let standing = self.state().standing.clone();
+        config_gauges(standing.version(), standing.config_age_ms(now_ms()));
+        gauge!("mallowpath_ready").set(f64::from(u8::from(self.is_ready())));
+        gauge!("mallowpath_takes_work").set(f64::from(u8::from(self.accepting())));
+        gauge!("mallowpath_runs_in_progress").set(self.running.count() as f64);
+        gauge!("mallowpath_bills_kept").set(self.bills().count() as f64);
+    }
+
     fn endpoint(self: &Arc<Self>, address: SocketAddr, admin: SocketAddr) -> Endpoint {
         let beating = Arc::clone(self);
         let hearing = Arc::clone(self);
