Keep a section's entries in one allocation

Cause: a loaded configuration of 61,000 budgets took more than the 64 MB of a router: each section of two keys held a tree node of eleven places, in memory and in the decoded checkpoint, and each budget its own copy of its workspace's name.

Ruled out: leaving out the sections and keeping the Fleet alone, as replay judges a change against the sections and a checkpoint carries them.

--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -140,7 +140,7 @@
                 None => lines.push(format!("    {key} = {value} (new)")),
             }
         }
-        for key in old.entries.keys() {
+        for (key, _) in &old.entries {
             if !section.entries.contains_key(key) {
                 lines.push(format!("    {key} is dropped"));
             }
--- a/crates/mallowpath/src/change.rs
+++ b/crates/mallowpath/src/change.rs
@@ -10,7 +10,7 @@
 };
 use prost::Message;
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     fmt::{self, Display},
     str::FromStr,
     sync::Arc,
@@ -123,8 +123,19 @@
     #[prost(string, tag = "2")]
     pub name: String,
     /// Values by key.
-    #[prost(btree_map = "string, string", tag = "3")]
-    pub entries: BTreeMap<String, String>,
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<EntryRecord>,
+}
+
+/// A key with its value as it is written to the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryRecord {
+    /// The key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// The value.
+    #[prost(string, tag = "2")]
+    pub value: String,
 }
 
 /// A section's name as it is written to the log.
@@ -184,15 +195,24 @@
 impl SharedWords {
     /// Builds a section that shares its kind and keys with the others built here.
     pub(crate) fn section(&mut self, record: &SectionRecord) -> Section {
-        let mut entries = BTreeMap::new();
-        for (key, value) in &record.entries {
-            entries.insert(self.share(key), Arc::from(value.as_str()));
+        let mut entries = Vec::with_capacity(record.entries.len());
+        for EntryRecord { key, value } in &record.entries {
+            let key = self.share(key);
+            entries.push((key, self.share_value(value)));
         }
         Section {
             kind: self.share(&record.kind),
             name: Arc::from(record.name.as_str()),
-            entries,
+            entries: entries.into_iter().collect(),
+        }
+    }
+
+    /// Shares names, which many sections repeat; numbers mostly differ.
+    fn share_value(&mut self, value: &str) -> Arc<str> {
+        if value.starts_with(|c: char| c.is_ascii_alphabetic()) {
+            return self.share(value);
         }
+        Arc::from(value)
     }
 
     fn share(&mut self, word: &str) -> Arc<str> {
@@ -239,9 +259,12 @@
 
 impl From<&Section> for SectionRecord {
     fn from(section: &Section) -> Self {
-        let mut entries = BTreeMap::new();
+        let mut entries = Vec::new();
         for (key, value) in &section.entries {
-            entries.insert(key.to_string(), value.to_string());
+            entries.push(EntryRecord {
+                key: key.to_string(),
+                value: value.to_string(),
+            });
         }
         Self {
             kind: section.kind.to_string(),
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -92,6 +92,7 @@
 mod dialer;
 mod eject;
 mod engine;
+mod entries;
 mod error;
 mod estimate;
 mod fair;
@@ -175,8 +176,8 @@
 pub use bill_shelf::{BillShelf, SidecarConfirmation};
 pub use bills::{BILL_STREAMS, bill_stream};
 pub use change::{
-    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
-    SectionNameRecord, SectionRecord, diff,
+    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, EntryRecord,
+    JudgedChange, SectionNameRecord, SectionRecord, diff,
 };
 pub use change_plan::{PlanError, plan_changes};
 pub use chat::{ChatRequest, StreamEvent, Usage};
@@ -185,6 +186,7 @@
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
 pub use config_task::{CONFIG_STREAM, load_config};
 pub use eject::{EjectSettings, Outliers};
+pub use entries::Entries;
 pub use error::{Category, Error, Result};
 pub use estimate::Estimate;
 pub use fair::WorkspaceShare;
--- a/crates/mallowpath/src/section.rs
+++ b/crates/mallowpath/src/section.rs
@@ -4,6 +4,7 @@
 //! two folders that mean the same give the same sections.
 
 use crate::{
+    entries::Entries,
     ini::IniDocument,
     issue::{Issue, nearest},
 };
@@ -31,7 +32,7 @@
     /// Which one of its kind.
     pub name: Arc<str>,
     /// Values by key.
-    pub entries: BTreeMap<Arc<str>, Arc<str>>,
+    pub entries: Entries,
 }
 
 /// All sections of a configuration.
@@ -63,14 +64,14 @@
     let mut sections = Sections::new();
     for (header, content) in &document.sections {
         let name = SectionName::from_header(header);
-        let mut entries = BTreeMap::new();
+        let mut entries = Vec::with_capacity(content.values.len());
         for (key, value) in &content.values {
-            entries.insert(Arc::clone(key), Arc::clone(&value.text));
+            entries.push((Arc::clone(key), Arc::clone(&value.text)));
         }
         let section = Section {
             kind: Arc::clone(&name.kind),
             name: Arc::clone(&name.name),
-            entries,
+            entries: entries.into_iter().collect(),
         };
         sections.insert(name, section);
     }
@@ -85,7 +86,7 @@
 /// A key counts as known once it has been asked for, so what is read and what is accepted agree.
 pub(crate) struct Reader<'a> {
     header: String,
-    entries: &'a BTreeMap<Arc<str>, Arc<str>>,
+    entries: &'a Entries,
     known: Vec<&'static str>,
     issues: &'a mut Vec<Issue>,
 }
--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -4,6 +4,7 @@
 //! the process; what may change while it runs belongs to the fleet's configuration.
 
 use crate::{
+    entries::Entries,
     id::{BackendId, HostId, Region, ServiceId, Zone},
     ini::IniDocument,
     issue::{Issue, IssueReport, nearest},
@@ -11,7 +12,7 @@
     section::{Reader, Section, YES_OR_NO, sections_of},
     standing::Confirmation,
 };
-use std::{collections::BTreeMap, net::SocketAddr, path::Path, sync::Arc};
+use std::{net::SocketAddr, path::Path, sync::Arc};
 
 const ADDRESS: &str = "an IP address and port, such as 10.0.0.1:8080";
 const NAME: &str = "a name of letters, digits and - _ . / :";
@@ -229,7 +230,7 @@
     let section = Section {
         kind: Arc::from(kind),
         name: Arc::from(""),
-        entries: BTreeMap::new(),
+        entries: Entries::default(),
     };
     let mut issues = Vec::new();
     let mut reader = Reader::new(&section, &mut issues);
