--- a/crates/ctl/tests/config_spread.rs
+++ b/crates/ctl/tests/config_spread.rs
@@ -6,9 +6,12 @@
     enter, example_with, forward_to, in_force, log_client, lookup_as, pause, place, publish_text,
     start_router, until,
 };
-use mallowpath::{Category, Published, RouterTuning, Version, publish};
+use mallowpath::{
+    CONFIG_STREAM, Category, ConfigRecord, Published, RouterTuning, Version, load_config, publish,
+};
 use mallowpath_embedded::{EXAMPLE_KEY, Site, SiteSettings};
 use mallowpath_standins::{Outage, forwarder::Mode, host_list};
+use prost::Message;
 use std::sync::{
     Arc,
     atomic::{AtomicBool, Ordering},
@@ -230,3 +233,41 @@
         pause(20).await;
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reader_later_than_the_retention_goes_on_from_a_checkpoint() {
+    let site = site().await;
+    let log = forward_to(site.log.address).await;
+    let hosts = host_list::start(host_list::Settings::default())
+        .await
+        .expect("a host list");
+    let host = place("late", "zone-9", log.address, hosts.address);
+    let (late, _) = start_router(host, RouterTuning::default())
+        .await
+        .expect("a router");
+    let before = late.config_version();
+    log.set_mode(Mode::BlackHole);
+    for number in 0..3 {
+        publish_text(site.log.address, &service(number)).await;
+    }
+    let client = log_client(site.log.address);
+    let state = load_config(&client).await.expect("a configuration");
+    site.log.change(|log| log.retained_records = 1);
+    for part in state.checkpoint() {
+        let record = ConfigRecord::from(part).encode_to_vec();
+        let appended = client.append(CONFIG_STREAM, record.into()).await;
+        appended.expect("an append");
+    }
+    let (first, _) = client.bounds(CONFIG_STREAM).await.expect("bounds");
+    assert!(
+        first.0 > before.0,
+        "the records that the router lacks are gone"
+    );
+    log.set_mode(Mode::Open);
+    until(IN_FORCE_MS, "catching up", || {
+        late.config_version() == state.version()
+    })
+    .await;
+    let confirmed = || late.config_age_ms().is_some_and(|age_ms| age_ms < 1_500);
+    until(IN_FORCE_MS, "confirming", confirmed).await;
+}
