--- a/crates/embedded/tests/limits.rs
+++ b/crates/embedded/tests/limits.rs
@@ -22,7 +22,8 @@
     let mut sections = example_configuration();
     for section in sections.values_mut() {
         if &*section.kind == "budget" {
-            section.entries.insert("tokens".into(), "1k".into());
+            let changed = ("tokens".into(), "1k".into());
+            section.entries = section.entries.iter().cloned().chain([changed]).collect();
         }
     }
     let published = publish(&log, &sections, "test").await;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -66,6 +66,7 @@
 //! whose [`Outcome`] says whether their request ran.
 
 mod admin;
+mod admin_client;
 mod admission;
 mod answer;
 mod audit;
@@ -95,6 +96,7 @@
 mod dialer;
 mod eject;
 mod engine;
+mod entries;
 mod error;
 mod estimate;
 mod fair;
@@ -172,6 +174,7 @@
 mod slice;
 mod slice_wire;
 mod standing;
+mod top_up;
 mod tries;
 mod verdict;
 mod wallet;
@@ -179,6 +182,7 @@
 mod wire;
 
 pub use admin::{Hooks, serve_admin};
+pub use admin_client::{AdminClient, find_admin};
 pub use audit::{Audit, BillConflict, BillTotal};
 pub use audit_log::{AuditReport, AuditedBudget, audit_log};
 pub use backend::{Backend, BackendState, LoadReport};
@@ -187,10 +191,10 @@
 pub use bill::{Bill, BillBatch, BillOutcome, BillRecord, PartRecord, charge, sum_parts};
 pub use bill_book::{BillBook, BillCounts, BillSettings, BillState, BillWatermark, Recorded};
 pub use bill_shelf::{BillShelf, SidecarConfirmation};
-pub use bills::BILL_STREAMS;
+pub use bills::{BILL_STREAMS, bill_stream};
 pub use change::{
-    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
-    SectionNameRecord, SectionRecord, diff,
+    Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, EntryRecord,
+    JudgedChange, SectionNameRecord, SectionRecord, diff,
 };
 pub use change_plan::{PlanError, plan_changes};
 pub use chat::{ChatRequest, StreamEvent, Usage};
@@ -199,6 +203,7 @@
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
 pub use config_task::{CONFIG_STREAM, load_config};
 pub use eject::{EjectSettings, Outliers};
+pub use entries::Entries;
 pub use error::{Category, Error, Result};
 pub use estimate::Estimate;
 pub use fair::WorkspaceShare;
@@ -274,5 +279,6 @@
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
 pub use standing::{Confirmation, NoWork, Standing};
+pub use top_up::{TopUpId, ToppedUp, new_top_up_id, read_ledger, top_up};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
 pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
--- a/crates/mallowpath/src/link.rs
+++ b/crates/mallowpath/src/link.rs
@@ -265,6 +265,7 @@
         }
     }
 
+    /// Locks the time of the peer that heartbeats echo.
     pub(crate) fn echo_ms(&self) -> MutexGuard<'_, Option<u64>> {
         self.echo_ms.lock().unwrap_or_else(PoisonError::into_inner)
     }
