--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -71,6 +71,8 @@
     /// The routers.
     pub routers: Vec<RouterProcess>,
     settings: FleetSettings,
+    /// The configuration in force.
+    text: String,
     folder: PathBuf,
 }
 
@@ -90,6 +92,7 @@
             sidecars: Vec::new(),
             routers: Vec::new(),
             settings,
+            text: String::new(),
             folder,
         };
         fleet.publish().await?;
@@ -114,6 +117,21 @@
         Arc::from(format!("key-{workspace}"))
     }
 
+    /// Publishes a change of one section.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log service does not take it.
+    pub async fn change(&self, number: usize) -> Result<(), Failure> {
+        let client = LogClient::new(self.log.address, LogClientSettings::default());
+        let timeout = format!("tokens_per_call = 1\ntimeout_ms = {}", 10_000 + number);
+        let text = self
+            .text
+            .replace("tokens_per_call = 1\ntimeout_ms = 20000", &timeout);
+        publish(&client, &sections(&text), "bench").await?;
+        Ok(())
+    }
+
     /// Starts one more router.
     ///
     /// # Errors
@@ -134,7 +152,7 @@
             .await
     }
 
-    async fn publish(&self) -> Result<(), Failure> {
+    async fn publish(&mut self) -> Result<(), Failure> {
         let client = LogClient::new(self.log.address, LogClientSettings::default());
         let mut text = configuration_head(&self.settings);
         let mut added = 0;
@@ -151,6 +169,7 @@
             added = next;
             publish(&client, &sections(&text), "bench").await?;
         }
+        self.text = text;
         Ok(())
     }
 
--- a/crates/bench/src/recovery.rs
+++ b/crates/bench/src/recovery.rs
@@ -25,6 +25,8 @@
 }
 
 const PAUSE_MS: u64 = 5;
+/// Changes of the configuration, each of one section.
+const CHANGES: usize = 10;
 const SERVING_MS: u64 = 30_000;
 
 /// Runs the experiment.
@@ -56,6 +58,7 @@
             });
             println!("{line}");
         }
+        measure_changes(&fleet, budgets).await?;
         let began = Instant::now();
         let before = fleet.live_backends(&fleet.routers[0]).await;
         fleet.add_lookup().await?;
@@ -71,6 +74,24 @@
     Ok(())
 }
 
+/// Measures the processor time of a router for each small change of the configuration.
+async fn measure_changes(fleet: &Fleet, budgets: usize) -> Result<(), Failure> {
+    let router = fleet.routers[0].process.id();
+    let before = ProcStat::read(router)?;
+    for number in 0..CHANGES {
+        fleet.change(number).await?;
+    }
+    sleep(Duration::from_secs(1)).await;
+    let after = ProcStat::read(router)?;
+    let line = json!({
+        "experiment": "recovery", "role": "router", "budgets": budgets, "changes": CHANGES,
+        "cpu_ms_per_change": (after.cpu_ms - before.cpu_ms) as f64 / CHANGES as f64,
+        "resident_kb": after.resident_kb, "peak_kb": after.peak_kb,
+    });
+    println!("{line}");
+    Ok(())
+}
+
 async fn until_served(address: SocketAddr) -> Result<(), Failure> {
     let gun = Gun::new();
     let shot = Shot {
