--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -9,8 +9,9 @@
     bill::{Bill, BillOutcome},
     chat::Usage,
     engine::end_code,
-    fleet::{Service, ServiceKind, WhenUnconfirmed, Workspace},
+    fleet::{Service, ServiceKind, Workspace},
     id::{BackendId, Incarnation, RequestId, Tokens},
+    key_client::JobKey,
     limbo,
     link::{Call, now_ms},
     refusal::{Code, Outcome, Refusal},
@@ -34,7 +35,7 @@
 /// How long a sidecar may take to say that it stopped a request.
 const STOP_MS: u64 = 2000;
 /// When a caller may come back after a refusal that says nothing better.
-const RETRY_AFTER_MS: u64 = 1000;
+pub(crate) const RETRY_AFTER_MS: u64 = 1000;
 
 /// A checked request.
 #[derive(Debug, Clone)]
@@ -81,6 +82,8 @@
 /// What was billed for an answer.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Receipt {
+    /// The request under which the answer was billed; a retry with the same key shows the first one.
+    pub(crate) request: RequestId,
     /// Token counts.
     pub(crate) usage: Usage,
 }
@@ -126,9 +129,11 @@
 
 /// What one request knows while its answer is handed on.
 pub(crate) struct Delivery {
-    out: mpsc::Sender<Output>,
-    next_chunk: u64,
+    pub(crate) out: mpsc::Sender<Output>,
+    pub(crate) next_chunk: u64,
     pub(crate) caller_left: bool,
+    /// Whether another request's run is handed on, which goes on without this request.
+    pub(crate) attached: bool,
     submitted_at_ms: u64,
     /// Time to the first chunk of the current attempt.
     first_chunk_ms: Option<u64>,
@@ -169,24 +174,11 @@
     ) -> Result<Receipt, Refusal> {
         let deadline = Instant::now() + Duration::from_millis(job.service.timeout_ms);
         self.check_accepting(job)?;
-        let tokens = Tokens(job.prompt_tokens + job.cap_tokens);
-        let ask = Ask {
-            service: &job.service,
-            workspace: &job.workspace,
-            tokens: tokens.0,
-            deadline_ms: now_ms() + job.service.timeout_ms,
-        };
-        let (permit, reservation) = self.admit(ask, deadline, out).await?;
-        let mut delivery = Delivery {
-            out: out.clone(),
-            next_chunk: 0,
-            caller_left: false,
-            submitted_at_ms: 0,
-            first_chunk_ms: None,
-            last_chunk_ms: 0,
-            chunks: 0,
-            status: 0,
-        };
+        if let Some(key) = JobKey::of(job) {
+            return self.run_keyed(job, key, out).await;
+        }
+        let (permit, reservation) = self.admit(job, deadline, out).await?;
+        let mut delivery = Delivery::new(out.clone());
         match self
             .run_reserved(job, &reservation, deadline, &mut delivery)
             .await
@@ -213,14 +205,22 @@
     /// Gets a request its permit and its tokens.
     ///
     /// A permit is not held while tokens are awaited: it would take a place from other workspaces.
-    async fn admit(
+    pub(crate) async fn admit(
         &self,
-        ask: Ask<'_>,
+        job: &Job,
         deadline: Instant,
         out: &mpsc::Sender<Output>,
     ) -> Result<(Permit, Reservation), Refusal> {
-        let budget = &ask.workspace.budget;
-        let tokens = Tokens(ask.tokens);
+        let budget = &job.workspace.budget;
+        let tokens = Tokens(job.prompt_tokens + job.cap_tokens);
+        let left = deadline.saturating_duration_since(Instant::now());
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let ask = Ask {
+            service: &job.service,
+            workspace: &job.workspace,
+            tokens: tokens.0,
+            deadline_ms: now_ms().saturating_add(left_ms),
+        };
         let permit = self.admissions.enter(ask, out).await?;
         if let Ok(reservation) = self.reserve_now(budget, tokens)? {
             return Ok((permit, reservation));
@@ -241,8 +241,7 @@
             let text = "this router is shutting down, ask another";
             return Err(Refusal::not_run(Code::ShuttingDown, text).after(RETRY_AFTER_MS));
         }
-        let unconfirmed = self.config_age_ms() > self.fleet().rules.unconfirmed_after_ms;
-        if unconfirmed && job.workspace.when_unconfirmed == WhenUnconfirmed::Refuse {
+        if !self.configuration.serves(&job.workspace) {
             let text = "the configuration can't be confirmed as current";
             return Err(Refusal::not_run(Code::Unconfirmed, text).after(RETRY_AFTER_MS));
         }
@@ -275,12 +274,7 @@
             };
             delivery.begin(attempt.submitted_at_ms);
             let ended = self.deliver(job, &mut attempt, deadline, delivery).await;
-            let result = attempt_result(&ended, delivery);
-            self.routes()
-                .ended(job, &attempt, result, delivery.interval_ms());
-            if result == AttemptResult::Success {
-                self.admissions.succeeded(&job.service.id);
-            }
+            self.count_attempt(job, &attempt, &ended, delivery);
             match ended {
                 Ended::End(end) if job.repeatable && failed_without_cost(&end) => {
                     tries.reached += 1;
@@ -304,7 +298,12 @@
         }
     }
 
-    fn submit_message(&self, job: &Job, reservation: &Reservation, deadline: Instant) -> Submit {
+    pub(crate) fn submit_message(
+        &self,
+        job: &Job,
+        reservation: &Reservation,
+        deadline: Instant,
+    ) -> Submit {
         let left = deadline.saturating_duration_since(Instant::now());
         let mut parts = Vec::new();
         for part in &reservation.parts {
@@ -328,12 +327,12 @@
             body: job.body.clone(),
             model: job.service.kind == ServiceKind::Model,
             sidecar: 0,
-            lowest_open: self.bills.logged_below(),
+            lowest_open: self.keys.lowest_open(self.bills.logged_below()),
             key: None,
         }
     }
 
-    async fn submit(
+    pub(crate) async fn submit(
         &self,
         job: &Job,
         chosen: Chosen,
@@ -367,7 +366,7 @@
     }
 
     /// Hands an answer on until its end, over as many connections as it takes.
-    async fn deliver(
+    pub(crate) async fn deliver(
         &self,
         job: &Job,
         attempt: &mut Attempt,
@@ -392,7 +391,9 @@
                     delivery.send(Output::Head(head)).await;
                 }
                 Ok(Some(Body::Chunk(chunk))) => {
-                    if let Some(first_ms) = delivery.first_chunk(&chunk) {
+                    if let Some(first_ms) = delivery.first_chunk(&chunk)
+                        && !delivery.attached
+                    {
                         self.first_token(job, attempt, first_ms);
                     }
                     if !delivery.take(chunk).await && !self.reattach(job, attempt, delivery).await {
@@ -424,11 +425,28 @@
                         return Ended::Lost;
                     }
                 }
+                Err(_) if delivery.attached => return Ended::Lost,
                 Err(_) => return self.stop(job, attempt).await,
             }
         }
     }
 
+    /// Takes in how an attempt ended, for routing and retries.
+    pub(crate) fn count_attempt(
+        &self,
+        job: &Job,
+        attempt: &Attempt,
+        ended: &Ended,
+        delivery: &Delivery,
+    ) {
+        let result = attempt_result(ended, delivery);
+        self.routes()
+            .ended(job, attempt, result, delivery.interval_ms());
+        if result == AttemptResult::Success {
+            self.admissions.succeeded(&job.service.id);
+        }
+    }
+
     fn first_token(&self, job: &Job, attempt: &Attempt, first_ms: u64) {
         self.routes().first_token(job, attempt, first_ms);
         let unqueued_ms = attempt.forecast.unqueued_ms;
@@ -445,6 +463,8 @@
                 request: job.id.into(),
                 from_chunk: delivery.next_chunk,
                 sidecar: attempt.sidecar.0,
+                wait_ms: 0,
+                with_bill: delivery.attached,
             });
             if let Ok(link) = self.dialer.link(attempt.address).await {
                 if link.peer_incarnation() != attempt.sidecar {
@@ -490,7 +510,7 @@
     }
 
     /// Bills a request whose sidecar said how it ended.
-    async fn close(
+    pub(crate) async fn close(
         self: &Arc<Self>,
         job: &Job,
         reservation: Reservation,
@@ -499,20 +519,7 @@
     ) -> Result<Receipt, Refusal> {
         let bill = self.settle_bill(job, reservation, end);
         let safe = self.make_safe(bill, attempt).await;
-        if !end.whole {
-            let text = format!("the answer was cut off: {}", end.code);
-            return Err(Refusal::ran(end_refusal(end), text));
-        }
-        if !safe {
-            let text = "the bill could not be made safe in time";
-            return Err(Refusal::ran(Code::BillUnsafe, text).after(RETRY_AFTER_MS));
-        }
-        metrics::counter!("mallowpath_whole_answers_total").increment(1);
-        let usage = Usage {
-            prompt_tokens: end.prompt_tokens,
-            completion_tokens: end.completion_tokens,
-        };
-        Ok(Receipt { usage })
+        receipt(job.id, end, safe)
     }
 
     /// Frees what a request did not spend and returns its bill.
@@ -542,8 +549,23 @@
 }
 
 impl Delivery {
+    /// Begins to hand an answer on.
+    pub(crate) fn new(out: mpsc::Sender<Output>) -> Self {
+        Self {
+            out,
+            next_chunk: 0,
+            caller_left: false,
+            attached: false,
+            submitted_at_ms: 0,
+            first_chunk_ms: None,
+            last_chunk_ms: 0,
+            chunks: 0,
+            status: 0,
+        }
+    }
+
     /// Begins an attempt that was submitted at `submitted_at_ms`.
-    fn begin(&mut self, submitted_at_ms: u64) {
+    pub(crate) fn begin(&mut self, submitted_at_ms: u64) {
         self.submitted_at_ms = submitted_at_ms;
         self.first_chunk_ms = None;
         self.chunks = 0;
@@ -560,7 +582,7 @@
     }
 
     /// Returns the mean time between the chunks of the attempt.
-    fn interval_ms(&self) -> Option<f64> {
+    pub(crate) fn interval_ms(&self) -> Option<f64> {
         let first_ms = self.first_chunk_ms?;
         if self.chunks < 2 {
             return None;
@@ -613,8 +635,26 @@
     }
 }
 
+/// Returns what a caller is told at the end of an answer, once its bill is safe or did not become so.
+pub(crate) fn receipt(request: RequestId, end: &End, safe: bool) -> Result<Receipt, Refusal> {
+    if !end.whole {
+        let text = format!("the answer was cut off: {}", end.code);
+        return Err(Refusal::ran(end_refusal(end), text));
+    }
+    if !safe {
+        let text = "the bill could not be made safe in time";
+        return Err(Refusal::ran(Code::BillUnsafe, text).after(RETRY_AFTER_MS));
+    }
+    metrics::counter!("mallowpath_whole_answers_total").increment(1);
+    let usage = Usage {
+        prompt_tokens: end.prompt_tokens,
+        completion_tokens: end.completion_tokens,
+    };
+    Ok(Receipt { request, usage })
+}
+
 #[cold]
-fn lost(attempt: &Attempt) -> Refusal {
+pub(crate) fn lost(attempt: &Attempt) -> Refusal {
     let text = format!(
         "backend server {} was lost during the request",
         attempt.backend
--- a/crates/mallowpath/src/routes.rs
+++ b/crates/mallowpath/src/routes.rs
@@ -3,6 +3,7 @@
 use crate::{
     backend::{Backend, BackendState, LoadReport},
     eject::{EjectSettings, Outliers},
+    host_client::{HostList, HostState},
     id::{BackendId, HostId, ServiceId, Zone},
     job::{Attempt, Job},
     link::{Link, now_ms},
@@ -23,6 +24,8 @@
     zone: Zone,
     settings: RouteSettings,
     services: Mutex<HashMap<ServiceId, Service>>,
+    /// Hosts that the host list shows as leaving.
+    leaving_hosts: Mutex<HashSet<HostId>>,
 }
 
 #[derive(Debug)]
@@ -47,7 +50,7 @@
 }
 
 /// What a request was expected to meet at its backend server when that was chosen.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Forecast {
     /// Time to process the prompt.
     pub(crate) prefill_ms: f64,
@@ -75,6 +78,7 @@
             zone,
             settings,
             services: Mutex::new(HashMap::new()),
+            leaving_hosts: Mutex::new(HashSet::new()),
         }
     }
 
@@ -130,11 +134,35 @@
         }
     }
 
-    /// Takes in a heartbeat of a sidecar.
-    pub(crate) fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+    /// Stops using the backend servers on hosts that leave.
+    pub(crate) fn hosts_changed(&self, list: &HostList) {
+        let mut leaving = HashSet::new();
+        for host in &list.hosts {
+            if host.state == HostState::Leaving {
+                leaving.insert(host.name.clone());
+            }
+        }
+        // Set first, so that no heartbeat brings a backend server back in between.
+        self.leaving_hosts().clone_from(&leaving);
+        for service in self.services().values_mut() {
+            for backend in service.table.backends_mut() {
+                if leaving.contains(&backend.sidecar) {
+                    backend.state = BackendState::Leaving;
+                }
+            }
+        }
+    }
+
+    /// Takes in a heartbeat of a sidecar whose backend server may leave by the configuration.
+    pub(crate) fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat, leaving: bool) {
         let Some((service_id, backend_id)) = names(link) else {
             return;
         };
+        let host_leaves = link
+            .peer()
+            .host
+            .parse()
+            .is_ok_and(|host: HostId| self.leaving_hosts().contains(&host));
         let mut services = self.services();
         let Some(service) = services.get_mut(&service_id) else {
             return;
@@ -146,7 +174,7 @@
             return;
         };
         let ejected = matches!(backend.state, BackendState::Ejected { .. });
-        if !heartbeat.accepting {
+        if leaving || host_leaves || !heartbeat.accepting {
             backend.state = BackendState::Leaving;
         } else if !ejected {
             backend.state = BackendState::Live;
@@ -315,6 +343,12 @@
         }
     }
 
+    fn leaving_hosts(&self) -> MutexGuard<'_, HashSet<HostId>> {
+        self.leaving_hosts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn services(&self) -> MutexGuard<'_, HashMap<ServiceId, Service>> {
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
