--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -440,7 +440,7 @@
         Self {
             header_timeout_ms: 5_000,
             body_timeout_ms: 30_000,
-            bill_batch_ms: 100,
+            bill_batch_ms: 5_000,
             slice_ms: 5_000,
             sidecars_per_service: 16,
             max_waiting: 10_000,
