List all routers together in the tests of keys

Cause: each router was listed as soon as it ran, so the first two could claim every key shard before the third was known, and a test that needs a key owned by router 1 found none (1 run of 3 under load). Ruled out: listing them before they run; their peers then count them as lost and take their shards over, which took 45 s in place of 7. Change: routers start first and are listed together.

--- a/crates/embedded/tests/keys/fleet.rs
+++ b/crates/embedded/tests/keys/fleet.rs
@@ -77,8 +77,13 @@
             settings,
         };
         fleet.add_notices().await;
+        // All are listed together, so that each claims its own shards.
+        let mut hosts = Vec::new();
         for _ in 0..routers {
-            fleet.add_router().await;
+            hosts.push(fleet.start_router().await);
+        }
+        for (number, host) in hosts.iter().enumerate() {
+            fleet.list_router(number, host).await;
         }
         for index in 0..routers {
             fleet.wait_until_ready(index).await;
@@ -87,6 +92,17 @@
     }
 
     pub async fn add_router(&mut self) {
+        let number = self.routers.len();
+        let host = self.start_router().await;
+        self.list_router(number, &host).await;
+    }
+
+    async fn list_router(&self, number: usize, host: &HostSettings) {
+        let address = self.routers[number].peers.address;
+        self.enter(host, "router", address, "live").await;
+    }
+
+    async fn start_router(&mut self) -> HostSettings {
         let number = self.routers.len();
         let name = format!("router-{number}");
         let log = forward(self.site.log.address).await;
@@ -104,7 +120,6 @@
         let started = runtime.spawn(Router::start(settings)).await;
         let (router, addresses) = started.expect("no panic").expect("the router starts");
         let peers = forward(addresses.peers).await;
-        self.enter(&host, "router", peers.address, "live").await;
         self.routers.push(RouterHost {
             router,
             addresses,
@@ -112,6 +127,7 @@
             log,
             runtime: Some(runtime),
         });
+        host
     }
 
     pub async fn wait_until_ready(&self, index: usize) {
