Merge branch 'main' into keysrun

Conflicts in router.rs (construction of the router) and in the fleet of the key tests, whose host entries have a label for the service now. The tests of mallowpath and mallowpath-embedded pass on the merge.

--- a/crates/embedded/tests/keys/fleet.rs
+++ b/crates/embedded/tests/keys/fleet.rs
@@ -200,6 +200,7 @@
             availability_zone: place.zone.to_string(),
             region: place.region.to_string(),
             state: state.into(),
+            service: String::new(),
         };
         host_list::enter(self.site.hosts.address, &host)
             .await
--- a/crates/mallowpath/src/follow.rs
+++ b/crates/mallowpath/src/follow.rs
@@ -19,6 +19,7 @@
     log: LogClient,
     stream: Arc<str>,
     next: Offset,
+    first: Offset,
 }
 
 impl Follower {
@@ -28,9 +29,15 @@
             log,
             stream: Arc::from(stream),
             next,
+            first: Offset(0),
         }
     }
 
+    /// Returns the oldest record that the log service kept at the last read.
+    pub fn first(&self) -> Offset {
+        self.first
+    }
+
     /// Reads the stream to the end that it has now.
     ///
     /// # Errors
@@ -54,11 +61,26 @@
     ///
     /// As [`Self::catch_up`].
     pub async fn step(&mut self, apply: impl FnMut(LogRecord)) -> Result<()> {
-        let page = self.page(WAIT_MS).await?;
-        self.hand_on(page, apply);
+        self.step_within(WAIT_MS, apply).await?;
         Ok(())
     }
 
+    /// Like [`Self::step`] with a wait of its own, and returns the end that the stream had.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::catch_up`].
+    pub async fn step_within(
+        &mut self,
+        wait_ms: u64,
+        apply: impl FnMut(LogRecord),
+    ) -> Result<Offset> {
+        let page = self.page(wait_ms).await?;
+        let end = page.next;
+        self.hand_on(page, apply);
+        Ok(end)
+    }
+
     async fn page(&self, wait_ms: u64) -> Result<LogPage> {
         let page = self
             .log
@@ -87,6 +109,7 @@
     }
 
     fn hand_on(&mut self, page: LogPage, mut apply: impl FnMut(LogRecord)) {
+        self.first = page.first;
         for record in page.records {
             self.next = Offset(record.offset.0 + 1);
             apply(record);
--- a/crates/mallowpath/src/host_client.rs
+++ b/crates/mallowpath/src/host_client.rs
@@ -1,7 +1,7 @@
 //! Client of the platform's host list.
 
 use crate::{
-    Backoff, HostId, Region, Result, Zone,
+    Backoff, HostId, Region, Result, ServiceId, Zone,
     http_call::{Call, HttpCaller},
 };
 use bytes::Bytes;
@@ -43,6 +43,9 @@
     pub region: Region,
     /// Whether the host stays.
     pub state: HostState,
+    /// The service of the backend server beside a sidecar, where the platform labels it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
 }
 
 /// What the process on a host does.
@@ -88,9 +91,18 @@
 #[derive(Debug, Deserialize)]
 struct ListAnswer {
     version: u64,
+    #[serde(default)]
     hosts: Vec<Value>,
 }
 
+impl HostList {
+    /// Returns the state of a host, if the list shows it.
+    pub fn state_of(&self, name: &HostId) -> Option<HostState> {
+        let entry = self.hosts.iter().find(|host| host.name == *name)?;
+        Some(entry.state)
+    }
+}
+
 impl HostClient {
     /// Makes a client of the host list at `address`; it connects on its first call.
     pub fn new(address: SocketAddr, settings: HostClientSettings) -> Self {
@@ -134,6 +146,8 @@
 
     /// Reads the list once its version differs from `since`, or after the longest wait.
     ///
+    /// Where the version is still `since`, the hosts may be left out.
+    ///
     /// # Errors
     ///
     /// Fails when the platform can't be asked. A host that can't be parsed is left out.
--- a/crates/mallowpath/src/keeper.rs
+++ b/crates/mallowpath/src/keeper.rs
@@ -53,8 +53,10 @@
     open_grants: BTreeSet<u64>,
     last_slice: u64,
     outbox: Outbox,
-    closing: bool,
     revoked: bool,
+    members_seen: Offset,
+    /// Whether this keeper ends: it draws nothing more and gives nothing out.
+    closing: bool,
 }
 
 impl Keeper {
@@ -70,8 +72,9 @@
             open_grants: BTreeSet::new(),
             last_slice: 0,
             outbox: Outbox::new(incarnation),
-            closing: false,
             revoked: false,
+            members_seen: Offset(0),
+            closing: false,
         }
     }
 
@@ -210,11 +213,11 @@
         account.used_ms = now_ms;
         let needed = Tokens(request.needed.0.max(1));
         let free = account.free();
-        if free < needed {
+        if free < needed || self.closing {
             if balance.unspent() < request.reservation.max(needed) {
                 return SliceAnswer::Exhausted;
             }
-            self.draw(&request.budget, needed.saturating_sub(free), now_ms);
+            self.draw_for(request, free, now_ms);
             return SliceAnswer::Short {
                 retry_after_ms: self.outbox.wait_ms(&self.settings),
             };
@@ -223,7 +226,13 @@
         let share = Tokens(reachable.0 / self.settings.share_divisor.max(1));
         let tokens = request.expected.min(share).max(needed).min(free);
         account.rate.add(tokens, now_ms);
-        let slices = account.cut(request, tokens, self.incarnation, &mut self.last_slice);
+        let slices = account.cut(
+            request,
+            tokens,
+            self.incarnation,
+            self.members_seen,
+            &mut self.last_slice,
+        );
         self.refill(&request.budget, now_ms);
         SliceAnswer::Granted(slices)
     }
@@ -242,12 +251,19 @@
         };
         let expected = account.rate.expected(now_ms);
         if account.free().0 < expected.0 / 2 {
-            self.draw(budget, Tokens::ZERO, now_ms);
+            self.draw(budget, Tokens::ZERO, expected, now_ms);
         }
     }
 
+    /// Queues a draw for a request that `free` tokens do not cover.
+    fn draw_for(&mut self, request: &SliceRequest, free: Tokens, now_ms: u64) {
+        let needed = Tokens(request.needed.0.max(1)).saturating_sub(free);
+        let expected = request.expected.saturating_sub(free);
+        self.draw(&request.budget, needed, expected, now_ms);
+    }
+
     /// Queues a draw of what is needed or, if the shares allow, of a horizon's use.
-    fn draw(&mut self, budget: &BudgetId, needed: Tokens, now_ms: u64) {
+    fn draw(&mut self, budget: &BudgetId, needed: Tokens, expected: Tokens, now_ms: u64) {
         let Some(balance) = self.ledger.balance(budget) else {
             return;
         };
@@ -255,7 +271,7 @@
         if self.closing || account.draw.is_some() || balance.left() == Tokens::ZERO {
             return;
         }
-        let expected = account.rate.expected(now_ms);
+        let expected = account.rate.expected(now_ms).max(expected);
         let tokens = self.settings.size(expected, balance.left()).max(needed);
         if tokens == Tokens::ZERO {
             return;
@@ -267,7 +283,8 @@
             incarnation: self.incarnation,
             sequence: self.last_grant,
         };
-        self.outbox.push(LedgerRecord::draw(budget, grant, tokens));
+        let draw = LedgerRecord::draw(budget, grant, tokens);
+        self.outbox.push(draw.seen(self.members_seen));
     }
 
     /// Takes a slice back; a second copy changes nothing.
@@ -329,6 +346,41 @@
         slices
     }
 
+    /// Notes up to where `members` was read, for the draws that follow.
+    pub fn set_members_seen(&mut self, seen: Offset) {
+        self.members_seen = self.members_seen.max(seen);
+    }
+
+    /// Stops giving out and drawing for good, once this keeper's router is fenced.
+    pub fn revoke(&mut self) {
+        self.revoked = true;
+        self.closing = true;
+    }
+
+    /// Returns the open slices of a router that a sidecar which went at `gone_at` may have billed:
+    /// what was spent of them can't be proven any more.
+    pub fn unprovable_slices(
+        &self,
+        router: Incarnation,
+        gone_at: Option<Offset>,
+    ) -> BTreeSet<SliceId> {
+        let mut slices = BTreeSet::new();
+        for account in self.accounts.values() {
+            for held in account.grants.values() {
+                for (sequence, open) in &held.open {
+                    let unprovable = gone_at.is_some_and(|at| at >= open.members_seen);
+                    if open.router == router && unprovable {
+                        slices.insert(SliceId {
+                            incarnation: self.incarnation,
+                            sequence: *sequence,
+                        });
+                    }
+                }
+            }
+        }
+        slices
+    }
+
     /// Queues a limit out of the configuration unless the ledger has it.
     pub fn set_limit(&mut self, budget: &BudgetId, version: Version, tokens: Tokens) {
         let known = self.ledger.balance(budget).unwrap_or_default();
--- a/crates/mallowpath/src/keeper_account.rs
+++ b/crates/mallowpath/src/keeper_account.rs
@@ -1,7 +1,7 @@
 //! What a keeper holds of one budget.
 
 use crate::{
-    BudgetId, GrantId, Incarnation, KeeperSettings, SliceId, Tokens,
+    BudgetId, GrantId, Incarnation, KeeperSettings, Offset, SliceId, Tokens,
     rate::RateMeter,
     slice::{Slice, SliceAnswer, SliceRequest},
 };
@@ -28,6 +28,8 @@
 pub(crate) struct OpenSlice {
     pub(crate) router: Incarnation,
     pub(crate) tokens: Tokens,
+    /// Up to where the keeper had read `members`: whoever left before can't have spent of it.
+    pub(crate) members_seen: Offset,
 }
 
 #[derive(Debug)]
@@ -66,6 +68,7 @@
         request: &SliceRequest,
         tokens: Tokens,
         incarnation: Incarnation,
+        members_seen: Offset,
         last_slice: &mut u64,
     ) -> Vec<Slice> {
         let mut slices = Vec::new();
@@ -83,6 +86,7 @@
                 OpenSlice {
                     router: request.router,
                     tokens: part,
+                    members_seen,
                 },
             );
             let id = SliceId {
--- a/crates/mallowpath/src/link.rs
+++ b/crates/mallowpath/src/link.rs
@@ -69,6 +69,8 @@
     remote: SocketAddr,
     outgoing: mpsc::Sender<Frame>,
     calls: Mutex<Calls>,
+    /// The peer's time of its newest heartbeat, to be echoed.
+    echo_ms: Mutex<Option<u64>>,
     closed: CancellationToken,
 }
 
@@ -141,6 +143,7 @@
                 opened: HashMap::new(),
                 served: HashMap::new(),
             }),
+            echo_ms: Mutex::new(None),
             closed: CancellationToken::new(),
         });
         let (sink, source) = framed.split();
@@ -262,6 +265,10 @@
         }
     }
 
+    pub(crate) fn echo_ms(&self) -> MutexGuard<'_, Option<u64>> {
+        self.echo_ms.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn calls(&self) -> MutexGuard<'_, Calls> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,10 +4,12 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
+    admission::Admissions,
     bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
-    config_task::Configuration,
+    config_task,
+    configuration::Configuration,
     dialer::Dialer,
     error::Result,
     fleet::{BackendMode, Fleet},
@@ -18,18 +20,24 @@
     key_task::Keys,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
-    peers::{sidecar_addresses, witness_addresses},
+    members::Join,
+    members_task::MembersTask,
+    order_task::OrderDesk,
+    peers::{sidecars, witness_addresses},
+    reclaims::Reclaims,
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
-    routes::Routes,
+    routes::{Chosen, Routes},
     running::Running,
     seen::PeersSeen,
     settings::{HostSettings, RouterSettings},
+    sidecar_join::leave,
     wire::{Heartbeat, Hello},
 };
 use serde_json::{Value, json};
 use std::{
+    collections::HashSet,
     fmt::{self, Display},
     net::SocketAddr,
     sync::{
@@ -54,10 +62,16 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) admissions: Arc<Admissions>,
+    pub(crate) orders: OrderDesk,
     pub(crate) keys: Keys,
     routes: Routes,
+    pub(crate) members: MembersTask,
+    pub(crate) reclaims: Reclaims,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
+    /// Whether there is a configuration.
+    loaded: AtomicBool,
     draining: AtomicBool,
     /// Cancelled when callers' connections are to end behind their answers.
     closing: CancellationToken,
@@ -102,51 +116,68 @@
         let (callers, callers_address) =
             bind(settings.callers_listen, "listen for callers").await?;
         let (peers, peers_address) = bind(settings.host.peer_listen, "listen for peers").await?;
+        let (admin, admin_address) =
+            bind(settings.host.admin_listen, "listen for operators").await?;
         let incarnation = Incarnation::random();
         let log = LogClient::new(settings.host.log_service, LogClientSettings::default());
         let hosts = watch_hosts(&settings.host);
-        let configuration = Configuration::load(&log).await?;
         let router = Arc::new_cyclic(|weak: &Weak<Self>| {
-            let endpoint = endpoint(weak, &settings, incarnation, peers_address);
+            let endpoint = endpoint(weak, &settings, incarnation, [peers_address, admin_address]);
             Self {
                 incarnation,
                 log: log.clone(),
                 dialer: Dialer::new(endpoint),
                 running: Running::default(),
-                configuration,
+                configuration: Configuration::default(),
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
                 keys: Keys::new(incarnation, &settings.tuning),
+                admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                orders: OrderDesk::default(),
+                members: MembersTask::new(log.clone()),
+                reclaims: Reclaims::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
+                loaded: AtomicBool::new(false),
                 draining: AtomicBool::new(false),
                 closing: CancellationToken::new(),
                 ended: CancellationToken::new(),
                 settings,
             }
         });
-        let admin = serve_admin(router.settings.host.admin_listen, router.hooks()).await?;
-        router.spawn_tasks(callers, peers);
+        serve_admin(admin, router.hooks());
+        config_task::load(&router).await?;
+        router.loaded.store(true, Ordering::Relaxed);
+        router.spawn_tasks(callers, peers, peers_address);
         let addresses = RouterAddresses {
             callers: callers_address,
             peers: peers_address,
-            admin,
+            admin: admin_address,
         };
         log::info!("router {incarnation} serves callers at {callers_address}");
         Ok((router, addresses))
     }
 
-    fn spawn_tasks(self: &Arc<Self>, callers: TcpListener, peers: TcpListener) {
+    fn spawn_tasks(
+        self: &Arc<Self>,
+        callers: TcpListener,
+        peers: TcpListener,
+        peers_address: SocketAddr,
+    ) {
         let app = front::routes(Arc::clone(self));
         let header_timeout_ms = self.settings.tuning.header_timeout_ms;
         let closing = self.closing.clone();
         tokio::spawn(serve_callers(callers, app, header_timeout_ms, closing));
         tokio::spawn(Arc::clone(self).accept(peers));
         tokio::spawn(Arc::clone(self).follow_hosts());
-        tokio::spawn(crate::config_task::follow(Arc::clone(self)));
+        tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.admissions).expire());
+        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
+        tokio::spawn(Arc::clone(self).follow_members(peers_address));
+        tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
         tokio::spawn(crate::key_takeover::tend(Arc::clone(self)));
     }
 
@@ -166,6 +197,7 @@
             router.running.idle().await;
             crate::bills::settle_all(&router).await;
             crate::budgets::return_all(&router).await;
+            leave(&router.log, router.incarnation).await;
             tokio::time::sleep(Duration::from_millis(LAST_BYTES_MS)).await;
             log::info!("drained");
             router.ended.cancel();
@@ -192,9 +224,14 @@
         self.configuration.version()
     }
 
-    /// Returns how long ago the configuration in force was known to be the newest.
-    pub(crate) fn config_age_ms(&self) -> u64 {
-        self.configuration.age_ms()
+    /// Returns how long ago the configuration in force was known to be the newest, if it ever was.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        self.configuration.confirmed_age_ms()
+    }
+
+    /// Returns whether the router takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed) && !self.is_draining()
     }
 
     /// Returns the number of backend servers that are connected and take work.
@@ -221,7 +258,7 @@
         &self,
         job: &Job,
         tried: &[BackendId],
-    ) -> std::result::Result<(BackendId, Arc<Link>), Refusal> {
+    ) -> std::result::Result<Chosen, Refusal> {
         self.routes.choose(job, tried)
     }
 
@@ -237,14 +274,20 @@
             "zone": self.settings.host.zone,
             "region": self.settings.host.region,
             "incarnation": self.incarnation,
+            "ready": self.is_ready(),
             "draining": self.is_draining(),
             "requests_in_progress": self.running.count(),
             "config_version": self.config_version(),
+            "config_author": self.configuration.author(),
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
+            "admission": self.admissions.dump(),
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "orders": self.orders.dump(),
+            "members": self.members.dump(),
+            "reclaims": self.reclaims.dump(),
             "keys": self.keys.dump(),
         })
     }
@@ -254,7 +297,7 @@
         let dump = Arc::clone(self);
         let drain = Arc::clone(self);
         Hooks {
-            ready: Arc::new(move || !ready.is_draining()),
+            ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dump.dump()),
             drain: Arc::new(move || drain.drain()),
         }
@@ -262,19 +305,20 @@
 
     fn heartbeat(&self, peer: &Hello) -> Heartbeat {
         let mut heartbeat = Heartbeat {
-            config_version: self.config_version().0,
-            confirmed_age_ms: self.config_age_ms(),
-            accepting: !self.is_draining(),
+            accepting: self.is_ready(),
             bills_logged_below: self.bills.logged_below(),
-            ..Heartbeat::default()
+            closed_grants: self.budgets.closed_grants(),
+            ..self.configuration.heartbeat()
         };
-        if !peer.backend.is_empty() {
+        if peer.backend.is_empty() {
+            heartbeat.billed_elsewhere = self.bills.billed_elsewhere(Incarnation(peer.incarnation));
+        } else {
             heartbeat.backend_state = self.backend_state(&peer.backend).into();
         }
         heartbeat
     }
 
-    /// Returns the state that configuration and host list give a backend server.
+    /// Returns the state that the configuration gives a backend server.
     fn backend_state(&self, backend: &str) -> &'static str {
         let Ok(id) = backend.parse::<BackendId>() else {
             return "excluded";
@@ -287,11 +331,14 @@
     }
 
     fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+        self.bills.closed_elsewhere(&heartbeat.billed_elsewhere);
         if link.peer().backend.is_empty() {
             self.configuration.heard(link, heartbeat);
             self.bills.heard(link.peer_incarnation(), heartbeat);
         } else {
-            self.routes.heard(link, heartbeat);
+            let leaving = self.backend_state(&link.peer().backend) != "active";
+            self.routes.heard(link, heartbeat, leaving);
+            self.orders.heard(link, &heartbeat.ordered);
         }
     }
 
@@ -321,6 +368,7 @@
         let peer = link.peer_incarnation();
         self.peers_seen.opened(peer);
         link.closed().await;
+        self.configuration.peer_lost(&link);
         self.peers_seen.closed(peer);
         tokio::time::sleep(Duration::from_millis(self.settings.timing.lost_router_ms)).await;
         if !self.peers_seen.is_open(peer) {
@@ -328,6 +376,28 @@
         }
     }
 
+    async fn follow_members(self: Arc<Self>, address: SocketAddr) {
+        let joining = Arc::clone(&self);
+        tokio::spawn(async move { joining.members.join_router(joining.join(address)).await });
+        self.members.follow(|event| self.members_event(event)).await;
+    }
+
+    fn join(&self, address: SocketAddr) -> Join {
+        Join {
+            incarnation: self.incarnation.0,
+            name: self.settings.host.name.to_string(),
+            address: address.to_string(),
+            zone: self.settings.host.zone.to_string(),
+            router: true,
+            ..Join::default()
+        }
+    }
+
+    /// Returns whether a peer has a connection that it opened.
+    pub(crate) fn is_open(&self, peer: Incarnation) -> bool {
+        self.peers_seen.is_open(peer)
+    }
+
     /// Keeps connections to the sidecars and routers that this router needs.
     async fn follow_hosts(self: Arc<Self>) {
         let mut hosts = self.hosts.clone();
@@ -337,14 +407,22 @@
         };
         let down = {
             let router = Arc::clone(&self);
-            Arc::new(move |link: &Arc<Link>| router.routes.down(link))
+            Arc::new(move |link: &Arc<Link>| router.link_down(link))
                 as Arc<dyn Fn(&_) + Send + Sync>
         };
         loop {
             let list = Arc::clone(&hosts.borrow_and_update());
-            let mut wanted = sidecar_addresses(&self.settings.host, &list);
+            self.routes.hosts_changed(&list);
+            let per_service = self.settings.tuning.sidecars_per_service;
+            let mut wanted = Vec::new();
+            let mut names = HashSet::new();
+            for sidecar in sidecars(&self.settings.host, &list, per_service) {
+                wanted.push(sidecar.address);
+                names.insert(&sidecar.name);
+            }
             wanted.extend(witness_addresses(&self.settings.host, &list));
             self.dialer.keep(&wanted, &up, &down);
+            self.routes.forget_unlisted(&names);
             if hosts.changed().await.is_err() {
                 return;
             }
@@ -356,6 +434,14 @@
             self.routes.up(link);
         }
     }
+
+    fn link_down(&self, link: &Arc<Link>) {
+        if link.peer().backend.is_empty() {
+            self.configuration.peer_lost(link);
+        } else {
+            self.routes.down(link);
+        }
+    }
 }
 
 fn watch_hosts(place: &HostSettings) -> watch::Receiver<Arc<HostList>> {
@@ -369,7 +455,7 @@
     weak: &Weak<Router>,
     settings: &RouterSettings,
     incarnation: Incarnation,
-    address: SocketAddr,
+    [address, admin]: [SocketAddr; 2],
 ) -> Endpoint {
     let beating = Weak::clone(weak);
     let hearing = Weak::clone(weak);
@@ -382,6 +468,7 @@
             address: address.to_string(),
             backend: String::new(),
             service: String::new(),
+            admin: admin.to_string(),
         },
         settings: settings.timing.link(),
         heartbeat: Arc::new(move |peer| match beating.upgrade() {
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -8,6 +8,7 @@
     id::{GrantId, Incarnation, RequestId, SliceId},
     key_call::{KeyCall, KeyReply},
     members::{Fence, KeyEpoch},
+    propagate::ConfigHeartbeat,
 };
 
 /// One message on a connection.
@@ -19,7 +20,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42"
     )]
     pub body: Option<Body>,
 }
@@ -102,6 +103,15 @@
     /// Router to sidecar: stop a request; answered by its [`End`].
     #[prost(message, tag = "26")]
     Stop(Stop),
+    /// Router to router: what did you spend of the grants of a fenced router's keepers?
+    #[prost(message, tag = "40")]
+    ReportKeepers(ReportKeepers),
+    /// The answer to [`ReportKeepers`].
+    #[prost(message, tag = "41")]
+    KeepersReport(KeepersReport),
+    /// Router to router: these keepers have no open grant any more.
+    #[prost(message, tag = "42")]
+    KeepersClosed(KeepersClosed),
 }
 
 /// Identifies a process to its peer.
@@ -125,6 +135,9 @@
     /// The model or plain service of that server; empty for a router.
     #[prost(string, tag = "6")]
     pub service: String,
+    /// `ip:port` at which the sender serves operators.
+    #[prost(string, tag = "20")]
+    pub admin: String,
 }
 
 /// What both sides tell each other at each heartbeat.
@@ -133,9 +146,9 @@
     /// The newest configuration version that the sender has in force.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
-    /// How long ago that version was known to be the newest, in milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub confirmed_age_ms: u64,
+    /// How long ago that version was known to be the newest, in milliseconds; absent if it never was.
+    #[prost(uint64, optional, tag = "2")]
+    pub confirmed_age_ms: Option<u64>,
     /// Whether the sender takes new work.
     #[prost(bool, tag = "3")]
     pub accepting: bool,
@@ -145,9 +158,38 @@
     /// The state that the configuration gives the receiver's backend server, from a router.
     #[prost(string, tag = "5")]
     pub backend_state: String,
+    /// What the backend server was ordered to be, from a sidecar.
+    #[prost(message, repeated, tag = "7")]
+    pub ordered: Vec<Ordered>,
     /// The log has all bills of the sender's requests below this number, from a router.
     #[prost(uint64, tag = "6")]
     pub bills_logged_below: u64,
+    /// Grants that are closed, so that sums of them can be forgotten, from a router.
+    #[prost(message, repeated, tag = "20")]
+    pub closed_grants: Vec<WireId>,
+    /// Sequence numbers of the receiver's requests that other routers have billed for it.
+    #[prost(uint64, repeated, tag = "21")]
+    pub billed_elsewhere: Vec<u64>,
+    /// The offset after the last configuration record that the sender holds, from a router.
+    #[prost(uint64, tag = "22")]
+    pub config_next: u64,
+    /// When the heartbeat was sent, by the sender's clock; set by the connection.
+    #[prost(uint64, optional, tag = "23")]
+    pub sent_at_ms: Option<u64>,
+    /// `sent_at_ms` of the newest heartbeat that the sender has received; set by the connection.
+    #[prost(uint64, optional, tag = "24")]
+    pub echo_ms: Option<u64>,
+}
+
+/// An order that a backend server has carried out.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Ordered {
+    /// The kind of the order, as the backend server calls it.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    /// What it names.
+    #[prost(string, tag = "2")]
+    pub name: String,
 }
 
 /// A load report of a backend server.
@@ -493,23 +535,61 @@
     pub billed: Vec<SlicePart>,
 }
 
+/// Asks a router what it spent of the grants of a fenced router's keepers.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ReportKeepers {
+    /// The incarnation of the fenced router.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+}
+
+/// What a router spent of the grants of a fenced router's keepers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeepersReport {
+    /// Whether nothing runs any more that may spend of them.
+    #[prost(bool, tag = "1")]
+    pub settled: bool,
+    /// What was spent of each grant.
+    #[prost(message, repeated, tag = "2")]
+    pub grants: Vec<GrantSum>,
+}
+
+/// Tokens of a grant.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct GrantSum {
+    /// The grant.
+    #[prost(message, required, tag = "1")]
+    pub grant: WireId,
+    /// The tokens.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Keepers that have no open grant any more.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeepersClosed {
+    /// Their incarnations.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keepers: Vec<u64>,
+}
+
 /// An order for a backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Order {
     /// Fencing number.
     #[prost(uint64, tag = "1")]
     pub fence: u64,
-    /// The order as JSON, as the backend server takes it.
-    #[prost(string, tag = "2")]
-    pub order: String,
+    /// The order.
+    #[prost(message, required, tag = "2")]
+    pub order: Ordered,
 }
 
 /// What became of an order.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct OrderReply {
-    /// `done`, `refused` or `unknown`.
-    #[prost(string, tag = "1")]
-    pub outcome: String,
+    /// What became of it.
+    #[prost(enumeration = "OrderOutcome", tag = "1")]
+    pub outcome: i32,
     /// The highest fencing number that the sidecar has seen.
     #[prost(uint64, tag = "2")]
     pub fence: u64,
@@ -523,6 +603,22 @@
     pub request: WireId,
 }
 
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum OrderOutcome {
+    /// Nobody knows whether the backend server carried it out.
+    Unknown = 0,
+    /// The backend server carried it out.
+    Done = 1,
+    /// The sender's right is superseded.
+    TooOld = 2,
+    /// An earlier order has to end first.
+    Busy = 3,
+    /// The backend server refused it.
+    Refused = 4,
+}
+
 /// A call that could not be done.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct CallFailed {
@@ -531,6 +627,20 @@
     pub code: String,
 }
 
+impl Heartbeat {
+    /// Returns what a router says of its configuration, and when the receiver asked for it.
+    ///
+    /// The sender had the receiver's heartbeat of that time when it made this one, so what it says
+    /// held at that time or later, however long the answer was on its way.
+    pub(crate) fn configuration(&self) -> (ConfigHeartbeat, u64) {
+        let answer = ConfigHeartbeat {
+            next: self.config_next,
+            confirmed_age_ms: self.echo_ms.and(self.confirmed_age_ms),
+        };
+        (answer, self.echo_ms.unwrap_or_default())
+    }
+}
+
 impl From<RequestId> for WireId {
     fn from(id: RequestId) -> Self {
         Self {
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -57,6 +57,9 @@
     pub region: String,
     /// `live` or `leaving`.
     pub state: String,
+    /// The service beside a sidecar, as a label of the host; may be empty.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub service: String,
 }
 
 #[derive(Debug)]
@@ -152,6 +155,9 @@
     // A timeout leaves the version as it is, and the answer says so.
     drop(timeout(limit, list.wait_for(is_new)).await);
     let list = list.borrow();
+    if !is_new(&list) {
+        return Json(json!({ "version": list.version })).into_response();
+    }
     let hosts: Vec<&Host> = list.hosts.values().collect();
     Json(json!({ "version": list.version, "hosts": hosts })).into_response()
 }
