Count adopted bills whatever their router says later, and tell kept bills

Cause: an audit that read a router's own stream before the stream of the router that had logged a bill for it took that only bill for a copy, as the watermark had moved past the request: 7 of 14 tokens were not counted. And a sidecar under memory pressure drops answers before their bills: a router that asked how the request ended heard that nothing is known, wrote the reservation off and let its watermark drop the kept bill.

Change: the audit takes the bills that were logged for others first, in all streams. A sidecar answers a stop out of the bill that it keeps.

Not proved by a test: the answer out of a kept bill. Ruled out: forgetting adopted bills in the audit by watermark, which is what went wrong.

--- a/crates/mallowpath/src/audit.rs
+++ b/crates/mallowpath/src/audit.rs
@@ -36,6 +36,8 @@
     workspaces: BTreeMap<WorkspaceId, BillTotal>,
     routers: BTreeMap<Incarnation, Seen>,
     closed: BTreeSet<Incarnation>,
+    /// Bills that other routers logged, which no watermark covers.
+    adopted: BTreeMap<RequestId, Counted>,
     conflicts: Vec<BillConflict>,
     conflict_count: u64,
     duplicate_count: u64,
@@ -48,14 +50,56 @@
     above: BTreeMap<u64, Counted>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Counted {
     tokens: Tokens,
     budget: BudgetId,
 }
 
+impl Counted {
+    fn of(bill: &Bill) -> Self {
+        Self {
+            tokens: bill.amount(),
+            budget: bill.budget.clone(),
+        }
+    }
+}
+
 impl Audit {
-    /// Counts the bills of a batch that weren't counted before.
+    /// Counts the bills of a batch that it logged for lost routers.
+    ///
+    /// A router that lives after all closes such a request without a bill of its own and moves its
+    /// watermark on. So these bills are to be read in all streams before any own ones.
+    pub fn apply_adopted(&mut self, batch: &BillBatch) {
+        for record in &batch.bills {
+            let Some(bill) = Bill::from_record(record) else {
+                continue;
+            };
+            if bill.request.incarnation == Incarnation(batch.author) {
+                continue;
+            }
+            if !self.is_adopted_copy(&bill) {
+                self.adopted.insert(bill.request, Counted::of(&bill));
+                self.add_to_totals(&bill);
+            }
+        }
+    }
+
+    /// Counts the bills of a batch that are its author's own and weren't counted before.
+    pub fn apply_own(&mut self, batch: &BillBatch) {
+        let mut own = BillBatch {
+            bills: Vec::new(),
+            ..batch.clone()
+        };
+        for record in &batch.bills {
+            if record.request.incarnation == batch.author {
+                own.bills.push(record.clone());
+            }
+        }
+        self.apply(&own);
+    }
+
+    /// Counts the bills of a batch that weren't counted before, those of lost routers as well.
     pub fn apply(&mut self, batch: &BillBatch) {
         for record in &batch.bills {
             match Bill::from_record(record) {
@@ -71,6 +115,9 @@
     }
 
     fn count(&mut self, bill: &Bill) {
+        if self.is_adopted_copy(bill) {
+            return;
+        }
         let RequestId {
             incarnation,
             sequence,
@@ -80,38 +127,46 @@
             self.duplicate_count += 1;
             return;
         }
-        let found = bill.amount();
         if let Some(counted) = seen.above.get(&sequence) {
-            self.duplicate_count += 1;
-            if counted.tokens == found && counted.budget == bill.budget {
-                return;
-            }
-            self.conflict_count += 1;
-            if self.conflicts.len() < MAX_LISTED_CONFLICTS {
-                let (request, counted) = (bill.request, counted.tokens);
-                self.conflicts.push(BillConflict {
-                    request,
-                    counted,
-                    found,
-                });
-            }
+            let counted = counted.clone();
+            self.note_copy(bill, &counted);
             return;
         }
-        // Shares the name with the table of totals.
-        let total = self.budgets.entry(bill.budget.clone()).or_default();
-        total.add(found);
-        let budget = bill.budget.clone();
-        seen.above.insert(
-            sequence,
-            Counted {
-                tokens: found,
-                budget,
-            },
-        );
-        self.workspaces
-            .entry(bill.workspace.clone())
-            .or_default()
-            .add(found);
+        seen.above.insert(sequence, Counted::of(bill));
+        self.add_to_totals(bill);
+    }
+
+    /// Returns whether another router logged the request, and notes the copy.
+    fn is_adopted_copy(&mut self, bill: &Bill) -> bool {
+        let Some(counted) = self.adopted.get(&bill.request).cloned() else {
+            return false;
+        };
+        self.note_copy(bill, &counted);
+        true
+    }
+
+    fn note_copy(&mut self, bill: &Bill, counted: &Counted) {
+        self.duplicate_count += 1;
+        let found = bill.amount();
+        if counted.tokens == found && counted.budget == bill.budget {
+            return;
+        }
+        self.conflict_count += 1;
+        if self.conflicts.len() < MAX_LISTED_CONFLICTS {
+            self.conflicts.push(BillConflict {
+                request: bill.request,
+                counted: counted.tokens,
+                found,
+            });
+        }
+    }
+
+    fn add_to_totals(&mut self, bill: &Bill) {
+        let amount = bill.amount();
+        let budget = self.budgets.entry(bill.budget.clone()).or_default();
+        budget.add(amount);
+        let workspace = self.workspaces.entry(bill.workspace.clone()).or_default();
+        workspace.add(amount);
     }
 
     /// Forgets the requests of a lost router once no sidecar or witness keeps a bill of it; bills
--- a/crates/mallowpath/src/audit_log.rs
+++ b/crates/mallowpath/src/audit_log.rs
@@ -76,16 +76,14 @@
     // The bills come first: tokens are out in the ledger before they are billed.
     for number in 0..BILL_STREAMS {
         let stream = bill_stream_name(number);
-        let (first, _) = log.bounds(&stream).await?;
+        let first = read_bills(log, &stream, |batch| audit.apply_adopted(batch)).await?;
         if first > Offset(0) {
-            report.cut_streams.push(stream.clone());
+            report.cut_streams.push(stream);
         }
-        let mut follower = Follower::new(log.clone(), &stream, first);
-        let read = follower.catch_up(|record| {
-            let batch = BillBatch::decode(record.data).unwrap_or_default();
-            audit.apply(&batch);
-        });
-        read.await?;
+    }
+    for number in 0..BILL_STREAMS {
+        let stream = bill_stream_name(number);
+        read_bills(log, &stream, |batch| audit.apply_own(batch)).await?;
     }
     for shard in 0..LEDGER_SHARDS {
         let (ledger, _) = load_ledger(log, &ledger_stream(shard)).await?;
@@ -104,6 +102,21 @@
     Ok(report)
 }
 
+/// Reads what is kept of a bill stream and returns its first offset.
+async fn read_bills(
+    log: &LogClient,
+    stream: &str,
+    mut apply: impl FnMut(&BillBatch),
+) -> Result<Offset> {
+    let (first, _) = log.bounds(stream).await?;
+    let mut follower = Follower::new(log.clone(), stream, first);
+    let read = follower.catch_up(|record| {
+        apply(&BillBatch::decode(record.data).unwrap_or_default());
+    });
+    read.await?;
+    Ok(first)
+}
+
 impl Display for AuditReport {
     /// Writes one line for each budget and workspace, then the counts.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/mallowpath/src/bill_shelf.rs
+++ b/crates/mallowpath/src/bill_shelf.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Returns the bill that is kept for a request.
+    pub fn bill(&self, request: RequestId) -> Option<&Bill> {
+        self.bills.get(&request)
+    }
+
     /// Returns whether a router's bills were sealed.
     pub fn is_sealed(&self, router: Incarnation) -> bool {
         self.sealed.contains(&router)
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -273,6 +273,9 @@
             };
             return answer(responder, Body::Refused(refused)).await;
         }
+        if let Some(end) = sidecar.end_in_bill(id) {
+            return answer(responder, Body::End(end)).await;
+        }
         let failed = CallFailed {
             code: "forgotten".into(),
         };
@@ -337,6 +340,22 @@
         parts
     }
 
+    /// Returns how a request ended whose answer was dropped while its bill is still kept.
+    ///
+    /// Without it the router would write the request off, and its watermark would drop the bill.
+    fn end_in_bill(&self, request: RequestId) -> Option<End> {
+        let bills = self.bills();
+        let bill = bills.bill(request)?;
+        Some(End {
+            chunks: 0,
+            whole: false,
+            ran: true,
+            prompt_tokens: bill.prompt_tokens.0,
+            completion_tokens: bill.completion_tokens.0,
+            code: "forgotten".into(),
+        })
+    }
+
     fn bills_logged(&self, logged: &BillsLogged) {
         let mut bills = self.bills();
         for request in &logged.requests {
