--- a/crates/mallowpath/src/bill_shelf.rs
+++ b/crates/mallowpath/src/bill_shelf.rs
@@ -171,16 +171,16 @@
         }
     }
 
-    /// Returns the bill that is kept for a request.
-    pub fn bill(&self, request: RequestId) -> Option<&Bill> {
-        self.bills.get(&request)
-    }
-
     /// Returns whether a router's bills were sealed.
     pub fn is_sealed(&self, router: Incarnation) -> bool {
         self.sealed.contains(&router)
     }
 
+    /// Returns the bill of a request, if it is kept.
+    pub fn get(&self, request: RequestId) -> Option<&Bill> {
+        self.bills.get(&request)
+    }
+
     /// Returns how many bills are kept.
     pub fn count(&self) -> usize {
         self.bills.len()
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -66,6 +66,7 @@
 //! whose [`Outcome`] says whether their request ran.
 
 mod admin;
+mod admission;
 mod audit;
 mod audit_log;
 mod backend;
@@ -80,6 +81,7 @@
 mod callers;
 mod candidates;
 mod change;
+mod change_plan;
 mod chat;
 mod checkpoint;
 mod checkpoint_pace;
@@ -88,6 +90,7 @@
 mod clock;
 mod concurrency;
 mod config_task;
+mod configuration;
 mod dialer;
 mod eject;
 mod engine;
@@ -110,10 +113,16 @@
 mod keeper_account;
 mod keeper_task;
 mod key;
+mod key_call;
 mod key_claim;
+mod key_client;
 mod key_message;
+mod key_owner;
 mod key_replica;
+mod key_run;
 mod key_table;
+mod key_takeover;
+mod key_task;
 mod ledger;
 mod ledger_records;
 mod limbo;
@@ -161,6 +170,8 @@
 mod signal;
 mod slice;
 mod slice_wire;
+mod standing;
+mod tries;
 mod verdict;
 mod wallet;
 mod wallet_account;
@@ -180,10 +191,12 @@
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use change_plan::{PlanError, plan_changes};
 pub use chat::{ChatRequest, StreamEvent, Usage};
 pub use checkpoint::LoggedCheckpoint;
 pub use claim_verdict::ClaimVerdict;
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
+pub use config_task::{CONFIG_STREAM, load_config};
 pub use eject::{EjectSettings, Outliers};
 pub use error::{Category, Error, Result};
 pub use estimate::Estimate;
@@ -207,8 +220,13 @@
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
 };
+pub use key_call::{
+    KeyAnswer, KeyAsk, KeyBound, KeyBoundKind, KeyCall, KeyCommit, KeyCopyPart, KeyFinish,
+    KeyLookup, KeyReply,
+};
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
+pub use key_task::{KEY_SHARDS, key_stream};
 pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
@@ -234,7 +252,7 @@
     prefix_hashes,
 };
 pub use propagate::{ConfigHeartbeat, Propagation};
-pub use publish::{Published, publish};
+pub use publish::{Published, publish, publish_on};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
@@ -254,5 +272,6 @@
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
+pub use standing::{Confirmation, NoWork, Standing};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
 pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
--- a/crates/mallowpath/src/link_io.rs
+++ b/crates/mallowpath/src/link_io.rs
@@ -1,9 +1,10 @@
 //! The tasks of a connection: first messages, writing, reading, heartbeats.
 
 use crate::{
+    clock::now_ms,
     error::Result,
     link::{Endpoint, Link, unreachable_peer},
-    wire::{Body, Frame, Hello},
+    wire::{Body, Frame, Heartbeat, Hello},
 };
 use bytes::Bytes;
 use futures_util::{
@@ -133,7 +134,10 @@
             }
         };
         match frame.body {
-            Some(Body::Heartbeat(heartbeat)) => (endpoint.heard)(&link, heartbeat),
+            Some(Body::Heartbeat(heartbeat)) => {
+                *link.echo_ms() = heartbeat.sent_at_ms;
+                (endpoint.heard)(&link, heartbeat);
+            }
             Some(body) => link.dispatch(frame.call, body, &endpoint),
             None => log::debug!("peer {} sent a message of a newer kind", link.remote()),
         }
@@ -150,7 +154,13 @@
             _ = ticks.tick() => {}
             () = link.closed() => return,
         }
-        let heartbeat = (endpoint.heartbeat)(link.peer());
+        // The echo is taken before the content, so that the content is never older.
+        let echo_ms = *link.echo_ms();
+        let heartbeat = Heartbeat {
+            sent_at_ms: Some(now_ms()),
+            echo_ms,
+            ..(endpoint.heartbeat)(link.peer())
+        };
         if !link.send(0, Body::Heartbeat(heartbeat)).await {
             return;
         }
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,10 +4,12 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
+    admission::Admissions,
     bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
-    config_task::Configuration,
+    config_task,
+    configuration::Configuration,
     dialer::Dialer,
     error::Result,
     fleet::{BackendMode, Fleet},
@@ -15,17 +17,18 @@
     host_client::{HostClient, HostClientSettings, HostList},
     id::{BackendId, Incarnation, RequestId, Version},
     job::Job,
+    key_task::Keys,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
     members::Join,
     members_task::MembersTask,
     order_task::OrderDesk,
-    peers::{sidecar_addresses, witness_addresses},
+    peers::{sidecars, witness_addresses},
     reclaims::Reclaims,
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
-    routes::Routes,
+    routes::{Chosen, Routes},
     running::Running,
     seen::PeersSeen,
     settings::{HostSettings, RouterSettings},
@@ -34,6 +37,7 @@
 };
 use serde_json::{Value, json};
 use std::{
+    collections::HashSet,
     fmt::{self, Display},
     net::SocketAddr,
     sync::{
@@ -58,12 +62,16 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) admissions: Arc<Admissions>,
     pub(crate) orders: OrderDesk,
+    pub(crate) keys: Keys,
     routes: Routes,
     pub(crate) members: MembersTask,
     pub(crate) reclaims: Reclaims,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
+    /// Whether there is a configuration.
+    loaded: AtomicBool,
     draining: AtomicBool,
     /// Cancelled when callers' connections are to end behind their answers.
     closing: CancellationToken,
@@ -108,38 +116,44 @@
         let (callers, callers_address) =
             bind(settings.callers_listen, "listen for callers").await?;
         let (peers, peers_address) = bind(settings.host.peer_listen, "listen for peers").await?;
+        let (admin, admin_address) =
+            bind(settings.host.admin_listen, "listen for operators").await?;
         let incarnation = Incarnation::random();
         let log = LogClient::new(settings.host.log_service, LogClientSettings::default());
         let hosts = watch_hosts(&settings.host);
-        let configuration = Configuration::load(&log).await?;
         let router = Arc::new_cyclic(|weak: &Weak<Self>| {
-            let endpoint = endpoint(weak, &settings, incarnation, peers_address);
+            let endpoint = endpoint(weak, &settings, incarnation, [peers_address, admin_address]);
             Self {
                 incarnation,
                 log: log.clone(),
                 dialer: Dialer::new(endpoint),
                 running: Running::default(),
-                configuration,
+                configuration: Configuration::default(),
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
+                keys: Keys::new(incarnation, peers_address, &settings.tuning),
+                admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
+                orders: OrderDesk::default(),
                 members: MembersTask::new(log.clone()),
                 reclaims: Reclaims::default(),
-                orders: OrderDesk::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
+                loaded: AtomicBool::new(false),
                 draining: AtomicBool::new(false),
                 closing: CancellationToken::new(),
                 ended: CancellationToken::new(),
                 settings,
             }
         });
-        let admin = serve_admin(router.settings.host.admin_listen, router.hooks()).await?;
+        serve_admin(admin, router.hooks());
+        config_task::load(&router).await?;
+        router.loaded.store(true, Ordering::Relaxed);
         router.spawn_tasks(callers, peers, peers_address);
         let addresses = RouterAddresses {
             callers: callers_address,
             peers: peers_address,
-            admin,
+            admin: admin_address,
         };
         log::info!("router {incarnation} serves callers at {callers_address}");
         Ok((router, addresses))
@@ -157,13 +171,15 @@
         tokio::spawn(serve_callers(callers, app, header_timeout_ms, closing));
         tokio::spawn(Arc::clone(self).accept(peers));
         tokio::spawn(Arc::clone(self).follow_hosts());
-        tokio::spawn(crate::config_task::follow(Arc::clone(self)));
+        tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::budget_limits::follow(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.admissions).expire());
+        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
         tokio::spawn(Arc::clone(self).follow_members(peers_address));
         tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
-        tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
+        tokio::spawn(crate::key_takeover::tend(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -209,9 +225,14 @@
         self.configuration.version()
     }
 
-    /// Returns how long ago the configuration in force was known to be the newest.
-    pub(crate) fn config_age_ms(&self) -> u64 {
-        self.configuration.age_ms()
+    /// Returns how long ago the configuration in force was known to be the newest, if it ever was.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        self.configuration.confirmed_age_ms()
+    }
+
+    /// Returns whether the router takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed) && !self.is_draining()
     }
 
     /// Returns the number of backend servers that are connected and take work.
@@ -238,7 +259,7 @@
         &self,
         job: &Job,
         tried: &[BackendId],
-    ) -> std::result::Result<(BackendId, Arc<Link>), Refusal> {
+    ) -> std::result::Result<Chosen, Refusal> {
         self.routes.choose(job, tried)
     }
 
@@ -254,17 +275,21 @@
             "zone": self.settings.host.zone,
             "region": self.settings.host.region,
             "incarnation": self.incarnation,
+            "ready": self.is_ready(),
             "draining": self.is_draining(),
             "requests_in_progress": self.running.count(),
             "config_version": self.config_version(),
+            "config_author": self.configuration.author(),
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
+            "admission": self.admissions.dump(),
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
+            "orders": self.orders.dump(),
             "members": self.members.dump(),
             "reclaims": self.reclaims.dump(),
-            "orders": self.orders.dump(),
+            "keys": self.keys.dump(),
         })
     }
 
@@ -273,7 +298,7 @@
         let dump = Arc::clone(self);
         let drain = Arc::clone(self);
         Hooks {
-            ready: Arc::new(move || !ready.is_draining()),
+            ready: Arc::new(move || ready.is_ready()),
             dump: Arc::new(move || dump.dump()),
             drain: Arc::new(move || drain.drain()),
         }
@@ -281,12 +306,10 @@
 
     fn heartbeat(&self, peer: &Hello) -> Heartbeat {
         let mut heartbeat = Heartbeat {
-            config_version: self.config_version().0,
-            confirmed_age_ms: self.config_age_ms(),
-            accepting: !self.is_draining(),
+            accepting: self.is_ready(),
             bills_logged_below: self.bills.logged_below(),
             closed_grants: self.budgets.closed_grants(),
-            ..Heartbeat::default()
+            ..self.configuration.heartbeat()
         };
         if peer.backend.is_empty() {
             heartbeat.billed_elsewhere = self.bills.billed_elsewhere(Incarnation(peer.incarnation));
@@ -296,7 +319,7 @@
         heartbeat
     }
 
-    /// Returns the state that configuration and host list give a backend server.
+    /// Returns the state that the configuration gives a backend server.
     fn backend_state(&self, backend: &str) -> &'static str {
         let Ok(id) = backend.parse::<BackendId>() else {
             return "excluded";
@@ -314,7 +337,8 @@
             self.configuration.heard(link, heartbeat);
             self.bills.heard(link.peer_incarnation(), heartbeat);
         } else {
-            self.routes.heard(link, heartbeat);
+            let leaving = self.backend_state(&link.peer().backend) != "active";
+            self.routes.heard(link, heartbeat, leaving);
             self.orders.heard(link, &heartbeat.ordered);
         }
     }
@@ -345,6 +369,7 @@
         let peer = link.peer_incarnation();
         self.peers_seen.opened(peer);
         link.closed().await;
+        self.configuration.peer_lost(&link);
         self.peers_seen.closed(peer);
         tokio::time::sleep(Duration::from_millis(self.settings.timing.lost_router_ms)).await;
         if !self.peers_seen.is_open(peer) {
@@ -383,14 +408,22 @@
         };
         let down = {
             let router = Arc::clone(&self);
-            Arc::new(move |link: &Arc<Link>| router.routes.down(link))
+            Arc::new(move |link: &Arc<Link>| router.link_down(link))
                 as Arc<dyn Fn(&_) + Send + Sync>
         };
         loop {
             let list = Arc::clone(&hosts.borrow_and_update());
-            let mut wanted = sidecar_addresses(&self.settings.host, &list);
+            self.routes.hosts_changed(&list);
+            let per_service = self.settings.tuning.sidecars_per_service;
+            let mut wanted = Vec::new();
+            let mut names = HashSet::new();
+            for sidecar in sidecars(&self.settings.host, &list, per_service) {
+                wanted.push(sidecar.address);
+                names.insert(&sidecar.name);
+            }
             wanted.extend(witness_addresses(&self.settings.host, &list));
             self.dialer.keep(&wanted, &up, &down);
+            self.routes.forget_unlisted(&names);
             if hosts.changed().await.is_err() {
                 return;
             }
@@ -402,6 +435,14 @@
             self.routes.up(link);
         }
     }
+
+    fn link_down(&self, link: &Arc<Link>) {
+        if link.peer().backend.is_empty() {
+            self.configuration.peer_lost(link);
+        } else {
+            self.routes.down(link);
+        }
+    }
 }
 
 fn watch_hosts(place: &HostSettings) -> watch::Receiver<Arc<HostList>> {
@@ -415,7 +456,7 @@
     weak: &Weak<Router>,
     settings: &RouterSettings,
     incarnation: Incarnation,
-    address: SocketAddr,
+    [address, admin]: [SocketAddr; 2],
 ) -> Endpoint {
     let beating = Weak::clone(weak);
     let hearing = Weak::clone(weak);
@@ -428,6 +469,7 @@
             address: address.to_string(),
             backend: String::new(),
             service: String::new(),
+            admin: admin.to_string(),
         },
         settings: settings.timing.link(),
         heartbeat: Arc::new(move |peer| match beating.upgrade() {
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     id::{GrantId, Incarnation, RequestId, SliceId},
+    key_call::{KeyCall, KeyReply},
     members::{Fence, KeyEpoch},
+    propagate::ConfigHeartbeat,
 };
 
 /// One message on a connection.
@@ -133,6 +135,9 @@
     /// The model or plain service of that server; empty for a router.
     #[prost(string, tag = "6")]
     pub service: String,
+    /// `ip:port` at which the sender serves operators.
+    #[prost(string, tag = "20")]
+    pub admin: String,
 }
 
 /// What both sides tell each other at each heartbeat.
@@ -141,9 +146,9 @@
     /// The newest configuration version that the sender has in force.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
-    /// How long ago that version was known to be the newest, in milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub confirmed_age_ms: u64,
+    /// How long ago that version was known to be the newest, in milliseconds; absent if it never was.
+    #[prost(uint64, optional, tag = "2")]
+    pub confirmed_age_ms: Option<u64>,
     /// Whether the sender takes new work.
     #[prost(bool, tag = "3")]
     pub accepting: bool,
@@ -165,6 +170,15 @@
     /// Sequence numbers of the receiver's requests that other routers have billed for it.
     #[prost(uint64, repeated, tag = "21")]
     pub billed_elsewhere: Vec<u64>,
+    /// The offset after the last configuration record that the sender holds, from a router.
+    #[prost(uint64, tag = "22")]
+    pub config_next: u64,
+    /// When the heartbeat was sent, by the sender's clock; set by the connection.
+    #[prost(uint64, optional, tag = "23")]
+    pub sent_at_ms: Option<u64>,
+    /// `sent_at_ms` of the newest heartbeat that the sender has received; set by the connection.
+    #[prost(uint64, optional, tag = "24")]
+    pub echo_ms: Option<u64>,
 }
 
 /// An order that a backend server has carried out.
@@ -304,6 +318,12 @@
     /// The incarnation of the sidecar to which the request was submitted.
     #[prost(fixed64, tag = "3")]
     pub sidecar: u64,
+    /// How long the sidecar waits for a submit that is under way, before it writes a tombstone.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+    /// Whether the end is to carry the bill, for a router that did not submit the request.
+    #[prost(bool, tag = "5")]
+    pub with_bill: bool,
 }
 
 /// The request did not run and will not.
@@ -360,6 +380,9 @@
     /// Stable code of what went wrong; empty when the answer is whole.
     #[prost(string, tag = "6")]
     pub code: String,
+    /// The bill as it is in the bill streams, if it was asked for and the log is not known to have it.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub bill: bytes::Bytes,
 }
 
 /// A slice of a grant on the wire.
@@ -550,22 +573,6 @@
     pub keepers: Vec<u64>,
 }
 
-/// A call about idempotency keys, encoded by the key module.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyCall {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
-}
-
-/// The answer to a [`KeyCall`], encoded by the key module.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyReply {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
-}
-
 /// An order for a backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Order {
@@ -620,6 +627,20 @@
     pub code: String,
 }
 
+impl Heartbeat {
+    /// Returns what a router says of its configuration, and when the receiver asked for it.
+    ///
+    /// The sender had the receiver's heartbeat of that time when it made this one, so what it says
+    /// held at that time or later, however long the answer was on its way.
+    pub(crate) fn configuration(&self) -> (ConfigHeartbeat, u64) {
+        let answer = ConfigHeartbeat {
+            next: self.config_next,
+            confirmed_age_ms: self.echo_ms.and(self.confirmed_age_ms),
+        };
+        (answer, self.echo_ms.unwrap_or_default())
+    }
+}
+
 impl From<RequestId> for WireId {
     fn from(id: RequestId) -> Self {
         Self {
