--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -57,7 +57,8 @@
     pub platform_timeout_ms: u64,
     /// How long a read at the end of a stream or list waits for news.
     pub platform_wait_ms: u64,
-    /// How long a router may be gone before others bring its bills to the log.
+    /// How long a router may be gone before others bring its bills to the log, and from the host
+    /// list before it is fenced.
     pub lost_router_ms: u64,
 }
 
