--- a/crates/e2e/tests/drain.rs
+++ b/crates/e2e/tests/drain.rs
@@ -3,6 +3,7 @@
 use mallowpath_e2e::{
     Answer, Call, CallKind, Cluster, ClusterSettings, Failure, History, Operation, expect_whole,
 };
+use serde_json::json;
 use std::time::Duration;
 use tokio::{task::JoinHandle, time::sleep};
 
@@ -72,3 +73,19 @@
     assert!(!history.operations().iter().any(is_broken));
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_router_that_ends_while_the_log_is_down_cuts_and_loses_nothing() -> Result<(), Failure> {
+    let mut cluster = Cluster::start(ClusterSettings::default()).await?;
+    let history = History::new();
+    let calls = spawn_streams(&cluster, &history);
+    sleep(Duration::from_millis(500)).await;
+    cluster.log.change(json!({"outage": "refuse"})).await;
+    cluster.routers[0].process.terminate();
+    expect_whole(calls).await?;
+    cluster.log.change(json!({"outage": "none"})).await;
+    let status = cluster.routers[0].process.exit(EXIT_MS).await;
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    cluster.verify(&history, 3_000).await?;
+    Ok(())
+}
--- a/crates/e2e/tests/pairs.rs
+++ b/crates/e2e/tests/pairs.rs
@@ -108,3 +108,36 @@
     assert_eq!(cluster.runs().await.len(), 8);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_sidecar_that_dies_while_the_log_is_down_is_not_denied() -> Result<(), Failure> {
+    let cluster = Cluster::start(ClusterSettings::default()).await?;
+    let history = History::new();
+    let mut calls = Vec::new();
+    for number in 0..8 {
+        let call = Call {
+            prompt: format!("invoice {number}"),
+            max_tokens: 120,
+            natural_tokens: 100,
+            ..Call::default()
+        };
+        calls.push(history.spawn(cluster.callers()[number % 2], call));
+    }
+    sleep(Duration::from_millis(300)).await;
+    cluster.log.change(json!({"outage": "hang"})).await;
+    sleep(Duration::from_millis(300)).await;
+    cluster.sidecars[0].process.kill();
+    let mut unknown = 0;
+    for call in calls {
+        let operation = call.await?;
+        unknown += usize::from(operation.has_outcome("unknown"));
+        assert!(
+            operation.is_whole() || operation.has_outcome("unknown"),
+            "{operation:?}"
+        );
+    }
+    assert!(unknown > 0, "the dead sidecar had work");
+    cluster.log.change(json!({"outage": "none"})).await;
+    let content = cluster.settled(&history, 6_000).await?;
+    cluster.check(&history, &content).await.into_result()
+}
