--- a/crates/mallowpath/src/bills.rs
+++ b/crates/mallowpath/src/bills.rs
@@ -36,6 +36,7 @@
 /// Bills of own requests, and bills kept for other routers.
 #[derive(Debug)]
 pub(crate) struct Bills {
+    router: Incarnation,
     stream: Arc<str>,
     book: Mutex<BillBook>,
     shelf: Mutex<BillShelf>,
@@ -49,7 +50,12 @@
 
 /// Returns the bill stream of a router.
 pub fn bill_stream(router: Incarnation) -> String {
-    format!("bills-{:02}", router.0 % BILL_STREAMS)
+    bill_stream_name(router.0 % BILL_STREAMS)
+}
+
+/// Returns the name of a bill stream, given its number.
+pub(crate) fn bill_stream_name(number: u64) -> String {
+    format!("bills-{number:02}")
 }
 
 impl Bills {
@@ -60,6 +66,7 @@
             ..BillSettings::default()
         };
         Self {
+            router,
             stream: Arc::from(bill_stream(router)),
             book: Mutex::new(BillBook::new(router, settings)),
             shelf: Mutex::new(BillShelf::default()),
@@ -129,6 +136,24 @@
         });
     }
 
+    /// Returns which requests of another router were billed for it by others.
+    pub(crate) fn billed_elsewhere(&self, peer: Incarnation) -> Vec<u64> {
+        self.shelf().billed_elsewhere(peer)
+    }
+
+    /// Closes own requests that others have billed, believing this router lost.
+    pub(crate) fn closed_elsewhere(&self, sequences: &[u64]) {
+        for sequence in sequences {
+            self.book().logged_elsewhere(RequestId {
+                incarnation: self.router,
+                sequence: *sequence,
+            });
+        }
+        if !sequences.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Brings the bills kept for a lost router to the log.
     pub(crate) fn adopt_from_shelf(&self, router: Incarnation) {
         let bills = self.shelf().handover(router);
@@ -202,6 +227,35 @@
         self.bills.wait_until_safe(request).await
     }
 
+    /// Waits until a bill is safe whose request another router submitted.
+    ///
+    /// This router brings it to the log as well, in case the other one is lost; a second copy in the
+    /// log is void.
+    pub(crate) async fn share_bill(self: &Arc<Self>, bill: Bill, attempt: &Attempt) -> bool {
+        if bill.request.incarnation == self.incarnation {
+            return self.make_safe(bill, attempt).await;
+        }
+        let request = bill.request;
+        let link = Arc::clone(attempt.call.link());
+        self.bills.adopted_from().insert(request, link);
+        self.bills.book().adopt(bill);
+        if *attempt.sidecar_zone != *self.settings.host.zone.as_str() {
+            return true;
+        }
+        self.bills.book().hurry();
+        self.bills.urgent.notify_one();
+        let give_up = Instant::now() + Duration::from_millis(SAFE_MS);
+        while self.bills.book().state(request).is_some() {
+            let left = give_up.saturating_duration_since(Instant::now());
+            let changed = self.bills.changed.notified();
+            // Checked again, as the bill may have been logged before the wait began.
+            if self.bills.book().state(request).is_some() && timeout(left, changed).await.is_err() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Asks routers of other zones to keep a bill; with none at hand the log has to take it at once.
     async fn ask_witnesses(self: Arc<Self>, request: RequestId, keep: KeepBills) {
         for address in witness_addresses(&self.settings.host, &self.hosts()) {
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -66,7 +66,9 @@
 //! whose [`Outcome`] says whether their request ran.
 
 mod admin;
+mod admission;
 mod audit;
+mod audit_log;
 mod backend;
 mod backoff;
 mod baseline;
@@ -78,13 +80,16 @@
 mod callers;
 mod candidates;
 mod change;
+mod change_plan;
 mod chat;
 mod checkpoint;
+mod checkpoint_pace;
 mod checkpoint_reader;
 mod claim_verdict;
 mod clock;
 mod concurrency;
 mod config_task;
+mod configuration;
 mod dialer;
 mod eject;
 mod engine;
@@ -107,10 +112,16 @@
 mod keeper_account;
 mod keeper_task;
 mod key;
+mod key_call;
 mod key_claim;
+mod key_client;
 mod key_message;
+mod key_owner;
 mod key_replica;
+mod key_run;
 mod key_table;
+mod key_takeover;
+mod key_task;
 mod ledger;
 mod ledger_records;
 mod limbo;
@@ -121,7 +132,9 @@
 mod load_queue;
 mod log_client;
 mod logging;
+mod lost_routers;
 mod members;
+mod members_task;
 mod order;
 mod order_task;
 mod outbox;
@@ -131,6 +144,9 @@
 mod publish;
 mod rate;
 mod reclaim;
+mod reclaim_task;
+mod reclaim_words;
+mod reclaims;
 mod refusal;
 mod rendezvous;
 mod replay;
@@ -148,10 +164,13 @@
 mod settings;
 mod sidecar;
 mod sidecar_calls;
+mod sidecar_join;
 mod sidecar_orders;
 mod signal;
 mod slice;
 mod slice_wire;
+mod standing;
+mod tries;
 mod verdict;
 mod wallet;
 mod wallet_account;
@@ -159,6 +178,7 @@
 
 pub use admin::{Hooks, serve_admin};
 pub use audit::{Audit, BillConflict, BillTotal};
+pub use audit_log::{AuditReport, AuditedBudget, audit_log};
 pub use backend::{Backend, BackendState, LoadReport};
 pub use backoff::Backoff;
 pub use baseline::{least_outstanding, round_robin};
@@ -170,10 +190,12 @@
     Change, ChangeId, ConfigCheckpoint, ConfigEntry, ConfigRecord, Delta, JudgedChange,
     SectionNameRecord, SectionRecord, diff,
 };
+pub use change_plan::{PlanError, plan_changes};
 pub use chat::{ChatRequest, StreamEvent, Usage};
 pub use checkpoint::LoggedCheckpoint;
 pub use claim_verdict::ClaimVerdict;
 pub use concurrency::{ConcurrencyLimit, ConcurrencySettings};
+pub use config_task::{CONFIG_STREAM, load_config};
 pub use eject::{EjectSettings, Outliers};
 pub use error::{Category, Error, Result};
 pub use estimate::Estimate;
@@ -197,8 +219,13 @@
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
 };
+pub use key_call::{
+    KeyAnswer, KeyAsk, KeyBound, KeyBoundKind, KeyCall, KeyCommit, KeyCopyPart, KeyFinish,
+    KeyLookup, KeyReply,
+};
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
+pub use key_task::{KEY_SHARDS, key_stream};
 pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
@@ -212,7 +239,7 @@
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use logging::{start_logging, wall_clock_ms};
 pub use members::{
-    Fence, FenceDone, FenceTarget, FencedAt, Join, JoinedAt, KeyEpoch, Leave, Members,
+    Fence, FenceDone, FenceTarget, FencedAt, GoneRouter, Join, JoinedAt, KeyEpoch, Leave, Members,
     MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash,
 };
 pub use order::{
@@ -224,7 +251,7 @@
     prefix_hashes,
 };
 pub use propagate::{ConfigHeartbeat, Propagation};
-pub use publish::{Published, publish};
+pub use publish::{Published, publish, publish_on};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
@@ -244,5 +271,6 @@
 pub use slice::{
     GrantSpent, KeeperReport, Slice, SliceAnswer, SliceReply, SliceRequest, SliceReturn,
 };
+pub use standing::{Confirmation, NoWork, Standing};
 pub use verdict::{Balance, Effect, LedgerError, Verdict, VoidReason};
 pub use wallet::{OutgoingRequest, Outstanding, Wallet, WalletSettings};
--- /dev/null
+++ b/crates/mallowpath/src/members_task.rs
@@ -0,0 +1,328 @@
+//! Following the `members` stream: its state in routers, and the join of a sidecar.
+
+use crate::{
+    checkpoint_pace::CheckpointPace,
+    claim_verdict::ClaimVerdict,
+    error::{Category, Error, Result},
+    follow::{Follower, back_off},
+    id::{Incarnation, Offset},
+    link::now_ms,
+    log_client::{LogClient, LogRecord},
+    members::{FenceTarget, Join, Members, MembersChange, MembersCheckpoint, MembersRecord},
+};
+use prost::Message;
+use serde_json::{Value, json};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{sync::Notify, time::timeout};
+
+/// The name of the stream of joins, leaves and fences.
+pub(crate) const MEMBERS_STREAM: &str = "members";
+
+/// How long an own join may take to show up before it is appended again.
+const JOIN_MS: u64 = 1000;
+
+/// The replayed `members` stream of a router.
+#[derive(Debug)]
+pub(crate) struct MembersTask {
+    log: LogClient,
+    /// Nothing until the stream was read for the first time.
+    members: Mutex<Option<Members>>,
+    /// Told when a record was replayed.
+    pub(crate) changed: Notify,
+}
+
+/// What a router has to act on after replay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum MembersEvent {
+    /// A fence stands in the stream.
+    Fenced(FenceTarget),
+    /// A router left, or another one took its place on its host.
+    RouterGone(Incarnation),
+    /// All events below this offset were told.
+    Read(Offset),
+}
+
+/// Replays the stream to its end and returns the state with a follower behind it.
+///
+/// # Errors
+///
+/// Fails with [`Category::Gone`] when the stream holds neither its beginning nor a checkpoint, else
+/// as the log service does.
+pub(crate) async fn load_members(log: &LogClient) -> Result<(Members, Follower)> {
+    let (first, _) = log.bounds(MEMBERS_STREAM).await?;
+    let mut start = (first == Offset(0)).then(Members::default);
+    let mut search = Follower::new(log.clone(), MEMBERS_STREAM, first);
+    let searched = search.catch_up(|record| {
+        let Some(checkpoint) = checkpoint_in(&record) else {
+            return;
+        };
+        let known = start.as_ref().map_or(first, Members::next_offset);
+        if checkpoint.next_offset >= known.0 && checkpoint.next_offset <= record.offset.0 {
+            start = Some(Members::from_checkpoint(&checkpoint));
+        }
+    });
+    searched.await?;
+    let Some(mut members) = start else {
+        return Err(no_start(first));
+    };
+    let mut follower = Follower::new(log.clone(), MEMBERS_STREAM, members.next_offset());
+    let replayed = follower.catch_up(|record| {
+        members.apply(record.offset, &read(&record));
+    });
+    replayed.await?;
+    Ok((members, follower))
+}
+
+fn is_router(members: &Members, incarnation: Incarnation) -> bool {
+    let mut routers = members.routers();
+    routers.any(|join| join.incarnation == incarnation.0)
+}
+
+/// Decodes a record; bytes of another kind are a record that says nothing.
+pub(crate) fn read(record: &LogRecord) -> MembersRecord {
+    MembersRecord::decode(record.data.clone()).unwrap_or_default()
+}
+
+fn checkpoint_in(record: &LogRecord) -> Option<MembersCheckpoint> {
+    match read(record).change {
+        Some(MembersChange::Checkpoint(checkpoint)) => Some(checkpoint),
+        _ => None,
+    }
+}
+
+#[cold]
+fn no_start(first: Offset) -> Error {
+    let message = format!(
+        "records below {first} are gone and no checkpoint covers them; \
+         refusing to start without the fences that they held"
+    );
+    Error::new(
+        Category::Gone,
+        "find the state of a stream",
+        MEMBERS_STREAM,
+        message,
+    )
+}
+
+impl MembersTask {
+    /// Makes a task that has read nothing yet.
+    pub(crate) fn new(log: LogClient) -> Self {
+        Self {
+            log,
+            members: Mutex::new(None),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Returns the routers that are fenced or gone.
+    pub(crate) fn refused_routers(&self) -> BTreeSet<Incarnation> {
+        let refused = self.with(|members| {
+            let mut refused: BTreeSet<Incarnation> = members.gone_routers().collect();
+            for target in members.fenced() {
+                if let FenceTarget::Router(router) = target {
+                    refused.insert(Incarnation(router));
+                }
+            }
+            refused
+        });
+        refused.unwrap_or_default()
+    }
+
+    /// Returns whether a process has joined and is not gone, as far as the stream was read.
+    pub(crate) fn is_live(&self, incarnation: Incarnation) -> bool {
+        self.with(|members| members.is_live(incarnation))
+            .unwrap_or_default()
+    }
+
+    /// Returns the offset up to which the stream was read.
+    pub(crate) fn next_offset(&self) -> Offset {
+        self.with(Members::next_offset).unwrap_or_default()
+    }
+
+    /// Returns the address of a live router, or nothing in it.
+    pub(crate) fn router_address(&self, router: Incarnation) -> String {
+        let address = self.with(|members| {
+            let mut routers = members.routers();
+            let join = routers.find(|join| join.incarnation == router.0);
+            join.map(|join| join.address.clone()).unwrap_or_default()
+        });
+        address.unwrap_or_default()
+    }
+
+    /// Returns the offset of the fence of a router.
+    pub(crate) fn fence_offset(&self, router: Incarnation) -> Option<Offset> {
+        self.with(|members| members.fence_offset(FenceTarget::Router(router.0)))?
+    }
+
+    /// Returns the sidecars that have to confirm the fence at an offset, with their addresses.
+    pub(crate) fn must_confirm(&self, fence: Offset) -> Option<BTreeMap<Incarnation, String>> {
+        self.with(|members| {
+            let due = members.must_confirm(fence);
+            let mut addresses = BTreeMap::new();
+            for join in members.sidecars() {
+                let sidecar = Incarnation(join.incarnation);
+                if due.contains(&sidecar) {
+                    addresses.insert(sidecar, join.address.clone());
+                }
+            }
+            addresses
+        })
+    }
+
+    /// Joins as a router; until the join is seen, the router takes no tokens.
+    pub(crate) async fn join_router(&self, mut join: Join) {
+        let me = Incarnation(join.incarnation);
+        loop {
+            let changed = self.changed.notified();
+            if self.is_live(me) {
+                return;
+            }
+            let previous = self.with(|members| members.latest_on(&join.name));
+            if let Some(previous) = previous {
+                join.previous = previous.0;
+                let record = MembersRecord::from(MembersChange::Join(join.clone()));
+                let data = record.encode_to_vec().into();
+                if let Err(error) = self.log.append(MEMBERS_STREAM, data).await {
+                    log::warn!("waiting for the log service before taking tokens: {error}");
+                }
+            }
+            // Told of other records too; a copy of the join is void.
+            if timeout(Duration::from_millis(JOIN_MS), changed)
+                .await
+                .is_err()
+            {
+                log::info!("the join is not in the log yet");
+            }
+        }
+    }
+
+    /// Describes the state for a dump.
+    pub(crate) fn dump(&self) -> Value {
+        let described = self.with(|members| {
+            json!({
+                "next": members.next_offset(),
+                "sidecars": members.sidecars().count(),
+                "routers": members.routers().count(),
+                "fences": members.fenced().count(),
+            })
+        });
+        described.unwrap_or(Value::Null)
+    }
+
+    /// Follows the stream for the life of the process; `act` is told of each event in order.
+    ///
+    /// After a start from the log, `act` hears of all fences and of all routers that are gone.
+    pub(crate) async fn follow(&self, act: impl Fn(MembersEvent)) {
+        let mut failures = 0;
+        loop {
+            match load_members(&self.log).await {
+                Ok((members, follower)) => {
+                    failures = 0;
+                    let fenced: Vec<FenceTarget> = members.fenced().collect();
+                    let gone: Vec<Incarnation> = members.gone_routers().collect();
+                    *self.members() = Some(members);
+                    self.changed.notify_waiters();
+                    for router in gone {
+                        act(MembersEvent::RouterGone(router));
+                    }
+                    for target in fenced {
+                        act(MembersEvent::Fenced(target));
+                    }
+                    act(MembersEvent::Read(self.next_offset()));
+                    self.follow_from(follower, &act).await;
+                }
+                Err(error) => {
+                    log::warn!("{error}");
+                    failures += 1;
+                    back_off(failures).await;
+                }
+            }
+        }
+    }
+
+    /// Follows until records that were not read are no longer kept.
+    async fn follow_from(&self, mut follower: Follower, act: &impl Fn(MembersEvent)) {
+        let mut pace = CheckpointPace::default();
+        let mut failures = 0;
+        loop {
+            let step = follower.step(|record| {
+                if let Some(checkpoint) = checkpoint_in(&record) {
+                    pace.covered(Offset(checkpoint.next_offset));
+                }
+                if let Some(event) = self.replay(&record) {
+                    act(event);
+                }
+                act(MembersEvent::Read(Offset(record.offset.0 + 1)));
+            });
+            match step.await {
+                Ok(()) => failures = 0,
+                Err(error) if error.category() == Category::Gone => {
+                    log::error!("{error}");
+                    return;
+                }
+                Err(error) => {
+                    log::warn!("{error}");
+                    failures += 1;
+                    back_off(failures).await;
+                    continue;
+                }
+            }
+            self.write_checkpoint(&mut pace, follower.first()).await;
+        }
+    }
+
+    /// Applies a record and returns what has to be acted on.
+    fn replay(&self, record: &LogRecord) -> Option<MembersEvent> {
+        let decoded = read(record);
+        let mut state = self.members();
+        let members = state.as_mut()?;
+        let leaves = match &decoded.change {
+            Some(MembersChange::Join(join)) => Some(members.latest_on(&join.name)),
+            Some(MembersChange::Leave(leave)) => Some(Incarnation(leave.incarnation)),
+            _ => None,
+        };
+        let gone = leaves.filter(|incarnation| is_router(members, *incarnation));
+        let verdict = members.apply(record.offset, &decoded);
+        drop(state);
+        if verdict != ClaimVerdict::Valid {
+            return None;
+        }
+        self.changed.notify_waiters();
+        match &decoded.change {
+            Some(MembersChange::Fence(fence)) => fence.target.map(MembersEvent::Fenced),
+            _ => gone.map(MembersEvent::RouterGone),
+        }
+    }
+
+    async fn write_checkpoint(&self, pace: &mut CheckpointPace, first: Offset) {
+        let Some(checkpoint) = self.with(Members::checkpoint) else {
+            return;
+        };
+        let next = Offset(checkpoint.next_offset);
+        if !pace.is_due(first, next, rand::random(), now_ms()) {
+            return;
+        }
+        let record = MembersRecord::from(MembersChange::Checkpoint(checkpoint));
+        match self
+            .log
+            .append(MEMBERS_STREAM, record.encode_to_vec().into())
+            .await
+        {
+            Ok(_) => pace.covered(next),
+            Err(error) => log::warn!("{error}"),
+        }
+    }
+
+    /// Runs a closure on the state, once there is one.
+    pub(crate) fn with<T>(&self, read: impl FnOnce(&Members) -> T) -> Option<T> {
+        self.members().as_ref().map(read)
+    }
+
+    fn members(&self) -> MutexGuard<'_, Option<Members>> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/mallowpath/src/sidecar_calls.rs
+++ b/crates/mallowpath/src/sidecar_calls.rs
@@ -7,7 +7,7 @@
     job::bill_outcome,
     key::KeyHash,
     link::{Responder, now_ms},
-    members::Fence,
+    members::{Fence, FenceTarget},
     reservation::SlicePart,
     run::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
     sidecar::{Sidecar, Signal},
@@ -16,7 +16,10 @@
         Submit, SubmitKey,
     },
 };
-use std::sync::Arc;
+use prost::Message;
+use std::{sync::Arc, time::Duration};
+
+const SUBMIT_PAUSE_MS: u64 = 5;
 
 /// Serves one call.
 pub(crate) async fn serve_call(sidecar: Arc<Sidecar>, body: Body, responder: Responder) {
@@ -71,7 +74,7 @@
     };
     let (code, retry_after_ms) = match decision {
         SubmitAnswer::Start => {
-            forward(&sidecar, id, 0, &responder).await;
+            forward(&sidecar, id, 0, &responder, false).await;
             sidecar.runs().table.detach(id, now_ms());
             return;
         }
@@ -80,6 +83,7 @@
                 request: id.into(),
                 from_chunk: 0,
                 sidecar: sidecar.incarnation.0,
+                ..Attach::default()
             };
             return serve_attach(&sidecar, &attach, &responder).await;
         }
@@ -173,7 +177,7 @@
     .charged()
 }
 
-fn reserved_parts(parts: &[wire::SlicePart]) -> Vec<SlicePart> {
+pub(crate) fn reserved_parts(parts: &[wire::SlicePart]) -> Vec<SlicePart> {
     let mut reserved = Vec::with_capacity(parts.len());
     for part in parts {
         reserved.push(SlicePart {
@@ -193,10 +197,11 @@
         };
         return answer(responder, Body::CallFailed(failed)).await;
     }
+    wait_for_submit(sidecar, id, attach.wait_ms).await;
     let attached = sidecar.runs().table.attach(id, usize::MAX);
     match attached {
         AttachAnswer::Chunks { .. } => {
-            forward(sidecar, id, attach.from_chunk, responder).await;
+            forward(sidecar, id, attach.from_chunk, responder, attach.with_bill).await;
             sidecar.runs().table.detach(id, now_ms());
         }
         AttachAnswer::Never => {
@@ -215,8 +220,22 @@
     }
 }
 
+/// Gives a submit that is under way time to arrive before its tombstone is written.
+async fn wait_for_submit(sidecar: &Sidecar, id: RequestId, wait_ms: u64) {
+    let give_up = now_ms().saturating_add(wait_ms);
+    while sidecar.runs().table.is_new(id) && now_ms() < give_up {
+        tokio::time::sleep(Duration::from_millis(SUBMIT_PAUSE_MS)).await;
+    }
+}
+
 /// Sends an answer from a chunk on until its end, or until the router gives the call up.
-async fn forward(sidecar: &Arc<Sidecar>, id: RequestId, from_chunk: u64, responder: &Responder) {
+async fn forward(
+    sidecar: &Arc<Sidecar>,
+    id: RequestId,
+    from_chunk: u64,
+    responder: &Responder,
+    with_bill: bool,
+) {
     let Some(signal) = sidecar.runs().signals.get(&id).map(Arc::clone) else {
         return;
     };
@@ -244,7 +263,10 @@
             }
             next += 1;
         }
-        if let Some(end) = end {
+        if let Some(mut end) = end {
+            if with_bill && let Some(bill) = sidecar.bills().get(id) {
+                end.bill = bill.to_record().encode_to_vec().into();
+            }
             responder.send(Body::End(end)).await;
             return;
         }
@@ -286,23 +308,33 @@
 
 async fn serve_fence(sidecar: &Arc<Sidecar>, fence: &Fence, responder: &Responder) {
     let Some(target) = fence.target else { return };
-    let idle = {
+    let (idle, billed, newly_sealed) = {
         let mut runs = sidecar.runs();
         for id in runs.table.fence(target) {
             if let Some(signal) = runs.signals.get(&id) {
                 signal.stop.cancel();
             }
         }
-        runs.table.fence_done(target)
+        let idle = runs.table.fence_done(target);
+        // The bill of a run is kept before the run ends in the table, so none can follow the seal.
+        match target {
+            FenceTarget::Router(router) if idle => {
+                let router = Incarnation(router);
+                let is_first = !sidecar.bills().is_sealed(router);
+                (
+                    idle,
+                    sidecar.billed_parts(router),
+                    is_first.then_some(router),
+                )
+            }
+            _ => (idle, Vec::new(), None),
+        }
     };
-    answer(
-        responder,
-        Body::Fenced(Fenced {
-            idle,
-            billed: Vec::new(),
-        }),
-    )
-    .await;
+    if let Some(router) = newly_sealed {
+        let sidecar = Arc::clone(sidecar);
+        tokio::spawn(async move { sidecar.hand_over_until_logged(router).await });
+    }
+    answer(responder, Body::Fenced(Fenced { idle, billed })).await;
 }
 
 /// Sends the one answer of a call; a peer that is gone asks again.
@@ -313,6 +345,20 @@
 }
 
 impl Sidecar {
+    /// Takes no more bills of a fenced router and returns what was billed to its slices.
+    fn billed_parts(&self, router: Incarnation) -> Vec<wire::SlicePart> {
+        let confirmation = self.bills().seal(self.incarnation, router);
+        let mut parts = Vec::with_capacity(confirmation.billed.len());
+        for part in confirmation.billed {
+            parts.push(wire::SlicePart {
+                slice: part.slice.into(),
+                tokens: part.tokens.0,
+                grant: part.grant.into(),
+            });
+        }
+        parts
+    }
+
     fn bills_logged(&self, logged: &BillsLogged) {
         let mut bills = self.bills();
         for request in &logged.requests {
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     id::{GrantId, Incarnation, RequestId, SliceId},
+    key_call::{KeyCall, KeyReply},
     members::{Fence, KeyEpoch},
+    propagate::ConfigHeartbeat,
 };
 
 /// One message on a connection.
@@ -18,7 +20,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42"
     )]
     pub body: Option<Body>,
 }
@@ -101,6 +103,15 @@
     /// Router to sidecar: stop a request; answered by its [`End`].
     #[prost(message, tag = "26")]
     Stop(Stop),
+    /// Router to router: what did you spend of the grants of a fenced router's keepers?
+    #[prost(message, tag = "40")]
+    ReportKeepers(ReportKeepers),
+    /// The answer to [`ReportKeepers`].
+    #[prost(message, tag = "41")]
+    KeepersReport(KeepersReport),
+    /// Router to router: these keepers have no open grant any more.
+    #[prost(message, tag = "42")]
+    KeepersClosed(KeepersClosed),
 }
 
 /// Identifies a process to its peer.
@@ -124,6 +135,9 @@
     /// The model or plain service of that server; empty for a router.
     #[prost(string, tag = "6")]
     pub service: String,
+    /// `ip:port` at which the sender serves operators.
+    #[prost(string, tag = "20")]
+    pub admin: String,
 }
 
 /// What both sides tell each other at each heartbeat.
@@ -132,9 +146,9 @@
     /// The newest configuration version that the sender has in force.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
-    /// How long ago that version was known to be the newest, in milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub confirmed_age_ms: u64,
+    /// How long ago that version was known to be the newest, in milliseconds; absent if it never was.
+    #[prost(uint64, optional, tag = "2")]
+    pub confirmed_age_ms: Option<u64>,
     /// Whether the sender takes new work.
     #[prost(bool, tag = "3")]
     pub accepting: bool,
@@ -150,6 +164,21 @@
     /// The log has all bills of the sender's requests below this number, from a router.
     #[prost(uint64, tag = "6")]
     pub bills_logged_below: u64,
+    /// Grants that are closed, so that sums of them can be forgotten, from a router.
+    #[prost(message, repeated, tag = "20")]
+    pub closed_grants: Vec<WireId>,
+    /// Sequence numbers of the receiver's requests that other routers have billed for it.
+    #[prost(uint64, repeated, tag = "21")]
+    pub billed_elsewhere: Vec<u64>,
+    /// The offset after the last configuration record that the sender holds, from a router.
+    #[prost(uint64, tag = "22")]
+    pub config_next: u64,
+    /// When the heartbeat was sent, by the sender's clock; set by the connection.
+    #[prost(uint64, optional, tag = "23")]
+    pub sent_at_ms: Option<u64>,
+    /// `sent_at_ms` of the newest heartbeat that the sender has received; set by the connection.
+    #[prost(uint64, optional, tag = "24")]
+    pub echo_ms: Option<u64>,
 }
 
 /// An order that a backend server has carried out.
@@ -289,6 +318,12 @@
     /// The incarnation of the sidecar to which the request was submitted.
     #[prost(fixed64, tag = "3")]
     pub sidecar: u64,
+    /// How long the sidecar waits for a submit that is under way, before it writes a tombstone.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+    /// Whether the end is to carry the bill, for a router that did not submit the request.
+    #[prost(bool, tag = "5")]
+    pub with_bill: bool,
 }
 
 /// The request did not run and will not.
@@ -345,6 +380,9 @@
     /// Stable code of what went wrong; empty when the answer is whole.
     #[prost(string, tag = "6")]
     pub code: String,
+    /// The bill as it is in the bill streams, if it was asked for and the log is not known to have it.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub bill: bytes::Bytes,
 }
 
 /// A slice of a grant on the wire.
@@ -497,20 +535,42 @@
     pub billed: Vec<SlicePart>,
 }
 
-/// A call about idempotency keys, encoded by the key module.
+/// Asks a router what it spent of the grants of a fenced router's keepers.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ReportKeepers {
+    /// The incarnation of the fenced router.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+}
+
+/// What a router spent of the grants of a fenced router's keepers.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyCall {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
+pub struct KeepersReport {
+    /// Whether nothing runs any more that may spend of them.
+    #[prost(bool, tag = "1")]
+    pub settled: bool,
+    /// What was spent of each grant.
+    #[prost(message, repeated, tag = "2")]
+    pub grants: Vec<GrantSum>,
 }
 
-/// The answer to a [`KeyCall`], encoded by the key module.
+/// Tokens of a grant.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct GrantSum {
+    /// The grant.
+    #[prost(message, required, tag = "1")]
+    pub grant: WireId,
+    /// The tokens.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Keepers that have no open grant any more.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyReply {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
+pub struct KeepersClosed {
+    /// Their incarnations.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keepers: Vec<u64>,
 }
 
 /// An order for a backend server.
@@ -567,6 +627,20 @@
     pub code: String,
 }
 
+impl Heartbeat {
+    /// Returns what a router says of its configuration, and when the receiver asked for it.
+    ///
+    /// The sender had the receiver's heartbeat of that time when it made this one, so what it says
+    /// held at that time or later, however long the answer was on its way.
+    pub(crate) fn configuration(&self) -> (ConfigHeartbeat, u64) {
+        let answer = ConfigHeartbeat {
+            next: self.config_next,
+            confirmed_age_ms: self.echo_ms.and(self.confirmed_age_ms),
+        };
+        (answer, self.echo_ms.unwrap_or_default())
+    }
+}
+
 impl From<RequestId> for WireId {
     fn from(id: RequestId) -> Self {
         Self {
