--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -1,21 +1,12 @@
 //! A fleet of separate processes.
 
 use crate::{
-    Failure, History, LogContent, Network, Process, Program, Standin, Verdicts,
-    call::MODEL,
-    check::{check_answers, check_bills, check_budget, check_keys, check_runs},
-    settings_file::SettingsFile,
-};
-use mallowpath::{
-    BudgetId, Incarnation, IniDocument, LEDGER_SHARDS, LedgerBatch, LedgerEntry, LedgerRecord,
-    LogClient, LogClientSettings, PeerTiming, Published, RequestId, Tokens, TopUpRecord,
-    ledger_stream, publish, sections_of, shard_of,
+    Failure, Network, Process, Program, Standin, call::MODEL, settings_file::SettingsFile,
 };
+use mallowpath::{BudgetId, LogClient, LogClientSettings, PeerTiming, Tokens};
 use mallowpath_standins::{client, engine, host_list, log_service, plain_service};
-use prost::Message;
 use serde_json::{Value, json};
 use std::{
-    collections::BTreeMap,
     env, fs,
     net::SocketAddr,
     path::PathBuf,
@@ -27,9 +18,10 @@
 /// How long all parts may take to find each other.
 const READY_MS: u64 = 15_000;
 const POLL_MS: u64 = 20;
-const REGION: &str = "local";
+/// The region of every host.
+pub(crate) const REGION: &str = "local";
 /// The budget of every cluster.
-const BUDGET: &str = "demo-prepaid";
+pub(crate) const BUDGET: &str = "demo-prepaid";
 
 /// What a cluster consists of.
 #[derive(Debug, Clone)]
@@ -101,7 +93,7 @@
     pub log: Standin,
     /// The forwarders.
     pub network: Network,
-    settings: ClusterSettings,
+    pub(crate) settings: ClusterSettings,
     folder: PathBuf,
 }
 
@@ -154,47 +146,6 @@
         BUDGET.parse().expect("the name is valid")
     }
 
-    /// Publishes the configuration with another size of the budget.
-    ///
-    /// # Errors
-    ///
-    /// Fails as [`mallowpath::publish`] does.
-    pub async fn publish(&self, budget: Tokens, author: &str) -> Result<Published, Failure> {
-        self.publish_with(budget, "", author).await
-    }
-
-    /// Publishes the configuration with another size of the budget and further sections.
-    ///
-    /// # Errors
-    ///
-    /// Fails as [`mallowpath::publish`] does.
-    pub async fn publish_with(
-        &self,
-        budget: Tokens,
-        more: &str,
-        author: &str,
-    ) -> Result<Published, Failure> {
-        let mut text = format!(
-            "[workspace demo]\n\
-             key_sha256 = c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c\n\
-             budget = {BUDGET}\nservices = *\nhome_region = {REGION}\n\
-             [budget {BUDGET}]\nworkspace = demo\ntokens = {budget}\n\
-             [service {MODEL}]\nkind = model\nmax_output_tokens = 4096\ntimeout_ms = 20000\n"
-        );
-        for (service, _) in &self.settings.services {
-            let header = format!("[service {service}]\n");
-            if text.contains(&header) {
-                continue;
-            }
-            text.push_str(&header);
-            text.push_str("kind = plain\ntokens_per_call = 3\ntimeout_ms = 20000\n");
-        }
-        text.push_str(more);
-        let mut document = IniDocument::default();
-        document.merge_text("fleet.ini", &text);
-        Ok(publish(&self.log_client(), &sections_of(&document), author).await?)
-    }
-
     fn start_sidecars(&mut self) -> Result<(), Failure> {
         let mut backends = Vec::new();
         for engine in &self.settings.engines {
@@ -339,167 +290,6 @@
             sleep(Duration::from_millis(POLL_MS)).await;
         }
     }
-
-    /// Returns how often each request started at any backend server.
-    ///
-    /// # Panics
-    ///
-    /// Panics when a backend server does not answer.
-    pub async fn runs(&self) -> BTreeMap<RequestId, u64> {
-        let mut runs = BTreeMap::new();
-        for sidecar in &self.sidecars {
-            let stats = sidecar.backend.stats().await;
-            let Some(counted) = stats["runs"].as_object() else {
-                continue;
-            };
-            for (id, count) in counted {
-                let Ok(request) = id.parse::<RequestId>() else {
-                    continue;
-                };
-                let count = count.as_u64().or(count["runs"].as_u64());
-                *runs.entry(request).or_default() += count.unwrap_or_default();
-            }
-        }
-        runs
-    }
-
-    /// Waits until the log holds a bill for every whole answer and no bill is on its way.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the log service can't be read; when bills stay away, the content as it is by then
-    /// is returned.
-    pub async fn settled(&self, history: &History, limit_ms: u64) -> Result<LogContent, Failure> {
-        let give_up = Instant::now() + Duration::from_millis(limit_ms);
-        loop {
-            let content = LogContent::read(&self.log_client()).await?;
-            let mut missing = 0;
-            for operation in history.operations() {
-                let Some(request) = operation.request else {
-                    continue;
-                };
-                missing +=
-                    usize::from(operation.is_whole() && !content.bills.contains_key(&request));
-            }
-            if missing == 0 || Instant::now() >= give_up {
-                return Ok(content);
-            }
-            sleep(Duration::from_millis(POLL_MS)).await;
-        }
-    }
-
-    /// Waits until the log holds a bill for every request that ran, whoever asked for it.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the log service can't be read or a bill stays away.
-    pub async fn all_runs_billed(&self, limit_ms: u64) -> Result<LogContent, Failure> {
-        let give_up = Instant::now() + Duration::from_millis(limit_ms);
-        loop {
-            let content = LogContent::read(&self.log_client()).await?;
-            let mut missing = Vec::new();
-            for request in self.runs().await.into_keys() {
-                if !content.bills.contains_key(&request) {
-                    missing.push(request.to_string());
-                }
-            }
-            if missing.is_empty() {
-                return Ok(content);
-            }
-            if Instant::now() >= give_up {
-                return Err(format!("ran and were never billed: {missing:?}").into());
-            }
-            sleep(Duration::from_millis(POLL_MS)).await;
-        }
-    }
-
-    /// Waits until every run is billed and compares what callers saw with the log and the backend
-    /// servers.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a bill stays away for `limit_ms` or a check finds something.
-    pub async fn verify(&self, history: &History, limit_ms: u64) -> Result<LogContent, Failure> {
-        let content = self.all_runs_billed(limit_ms).await?;
-        self.check(history, &content).await.into_result()?;
-        Ok(content)
-    }
-
-    /// Shuts every router down and checks that the ledger says what the bills say.
-    ///
-    /// # Errors
-    ///
-    /// Fails when a router does not end in time, a grant stays out or the sums differ.
-    pub async fn verify_exact_after_drain(&mut self, limit_ms: u64) -> Result<(), Failure> {
-        self.drain_routers(limit_ms).await?;
-        let content = LogContent::read(&self.log_client()).await?;
-        let billed = content.billed(&self.budget());
-        let balance = content.ledgers.balance(&self.budget()).unwrap_or_default();
-        if balance.open != Tokens::ZERO || balance.spent != billed {
-            return Err(format!("{billed} billed, but the ledger has {balance:?}").into());
-        }
-        Ok(())
-    }
-
-    /// Adds tokens to the budget, as an operator does.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the log service does not take the top-up.
-    pub async fn top_up(&self, id: &str, tokens: Tokens) -> Result<(), Failure> {
-        let log = self.log_client();
-        let stream = ledger_stream(shard_of(&self.budget(), LEDGER_SHARDS));
-        let (_, next) = log.bounds(&stream).await?;
-        let top_up = TopUpRecord {
-            budget: BUDGET.to_owned(),
-            id: id.to_owned(),
-            tokens: tokens.0,
-            issued_at: next.0,
-        };
-        let batch = LedgerBatch {
-            author: Incarnation::random().0,
-            sequence: 1,
-            records: vec![LedgerRecord {
-                entry: Some(LedgerEntry::TopUp(top_up)),
-            }],
-        };
-        log.append(&stream, batch.encode_to_vec().into()).await?;
-        Ok(())
-    }
-
-    /// Compares what callers saw with the log and the backend servers, by all checks.
-    ///
-    /// # Panics
-    ///
-    /// Panics when a backend server does not answer.
-    pub async fn check(&self, history: &History, content: &LogContent) -> Verdicts {
-        let operations = history.operations();
-        let mut verdicts = check_answers(&operations);
-        verdicts.extend(check_bills(&operations, content));
-        let runs = self.runs().await;
-        verdicts.extend(check_runs(&operations, &runs));
-        verdicts.extend(check_keys(&operations, content, &runs));
-        verdicts.extend(check_budget(content, &self.budget()));
-        verdicts
-    }
-
-    /// Shuts every router down and waits until all have ended.
-    ///
-    /// # Errors
-    ///
-    /// Fails when one does not end in time or not with success.
-    pub async fn drain_routers(&mut self, limit_ms: u64) -> Result<(), Failure> {
-        for router in &self.routers {
-            router.process.terminate();
-        }
-        for router in &mut self.routers {
-            let status = router.process.exit(limit_ms).await;
-            if !status.is_some_and(|status| status.success()) {
-                return Err(format!("{} ended with {status:?}", router.name).into());
-            }
-        }
-        Ok(())
-    }
 }
 
 /// Returns the state of a process as its admin listener gives it, or null.
--- a/crates/e2e/src/lib.rs
+++ b/crates/e2e/src/lib.rs
@@ -11,9 +11,11 @@
 mod linear;
 mod log_content;
 mod network;
+mod operator;
 mod process;
 mod program;
 mod settings_file;
+mod verify;
 
 pub use call::{Answer, Call, CallKind, Operation};
 pub use check::{Verdicts, check_answers, check_bills, check_budget, check_keys, check_runs};
--- /dev/null
+++ b/crates/e2e/src/operator.rs
@@ -0,0 +1,81 @@
+//! What operators do to a cluster.
+
+use crate::{
+    Cluster, Failure,
+    call::MODEL,
+    cluster::{BUDGET, REGION},
+};
+use mallowpath::{
+    Incarnation, IniDocument, LEDGER_SHARDS, LedgerBatch, LedgerEntry, LedgerRecord, Published,
+    Tokens, TopUpRecord, ledger_stream, publish, sections_of, shard_of,
+};
+use prost::Message;
+
+impl Cluster {
+    /// Publishes the configuration with another size of the budget.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`mallowpath::publish`] does.
+    pub async fn publish(&self, budget: Tokens, author: &str) -> Result<Published, Failure> {
+        self.publish_with(budget, "", author).await
+    }
+
+    /// Publishes the configuration with another size of the budget and further sections.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`mallowpath::publish`] does.
+    pub async fn publish_with(
+        &self,
+        budget: Tokens,
+        more: &str,
+        author: &str,
+    ) -> Result<Published, Failure> {
+        let mut text = format!(
+            "[workspace demo]\n\
+             key_sha256 = c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c\n\
+             budget = {BUDGET}\nservices = *\nhome_region = {REGION}\n\
+             [budget {BUDGET}]\nworkspace = demo\ntokens = {budget}\n\
+             [service {MODEL}]\nkind = model\nmax_output_tokens = 4096\ntimeout_ms = 20000\n"
+        );
+        for (service, _) in &self.settings.services {
+            let header = format!("[service {service}]\n");
+            if text.contains(&header) {
+                continue;
+            }
+            text.push_str(&header);
+            text.push_str("kind = plain\ntokens_per_call = 3\ntimeout_ms = 20000\n");
+        }
+        text.push_str(more);
+        let mut document = IniDocument::default();
+        document.merge_text("fleet.ini", &text);
+        Ok(publish(&self.log_client(), &sections_of(&document), author).await?)
+    }
+
+    /// Adds tokens to the budget, as an operator does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log service does not take the top-up.
+    pub async fn top_up(&self, id: &str, tokens: Tokens) -> Result<(), Failure> {
+        let log = self.log_client();
+        let stream = ledger_stream(shard_of(&self.budget(), LEDGER_SHARDS));
+        let (_, next) = log.bounds(&stream).await?;
+        let top_up = TopUpRecord {
+            budget: BUDGET.to_owned(),
+            id: id.to_owned(),
+            tokens: tokens.0,
+            issued_at: next.0,
+        };
+        let batch = LedgerBatch {
+            author: Incarnation::random().0,
+            sequence: 1,
+            records: vec![LedgerRecord {
+                entry: Some(LedgerEntry::TopUp(top_up)),
+            }],
+        };
+        log.append(&stream, batch.encode_to_vec().into()).await?;
+        Ok(())
+    }
+}
