Share the text of names between sections and fleet

Cause: each budget's name and its workspace's name stood in memory twice, in the section and in the typed configuration.

Change: a name takes over shared text without a copy.

--- a/crates/mallowpath/src/fleet_read.rs
+++ b/crates/mallowpath/src/fleet_read.rs
@@ -214,7 +214,7 @@
     };
 }
 
-fn read_workspace(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+fn read_workspace(fleet: &mut Fleet, name: &Arc<str>, reader: &mut Reader<'_>) {
     let id = read_name(name, reader);
     let keys = reader.list::<BearerHash>("key_sha256", HASHES);
     let budget = reader.required("budget", "the name of a budget of this workspace");
@@ -270,9 +270,9 @@
         .unwrap_or(Services::Named(BTreeSet::new()))
 }
 
-fn read_budget(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+fn read_budget(fleet: &mut Fleet, name: &Arc<str>, reader: &mut Reader<'_>) {
     let id = read_name(name, reader);
-    let workspace = reader.required("workspace", "the name of a workspace");
+    let workspace = reader.required_name("workspace", "the name of a workspace");
     reader.require(
         "tokens",
         "the number of tokens paid for, such as 1_000, 5k or 2M",
@@ -289,7 +289,7 @@
     fleet.budgets.insert(budget.id.clone(), budget);
 }
 
-fn read_service(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+fn read_service(fleet: &mut Fleet, name: &Arc<str>, reader: &mut Reader<'_>) {
     let id = read_name::<ServiceId>(name, reader);
     if name.contains(':') {
         reader.reject("", "a service name without :, which sets off an adapter");
@@ -328,7 +328,7 @@
     fleet.services.insert(service.id.clone(), Arc::new(service));
 }
 
-fn read_backend(fleet: &mut Fleet, name: &str, reader: &mut Reader<'_>) {
+fn read_backend(fleet: &mut Fleet, name: &Arc<str>, reader: &mut Reader<'_>) {
     let id = read_name(name, reader);
     let states = [
         ("active", BackendMode::Active),
@@ -353,8 +353,11 @@
     fleet.backends.insert(backend.id.clone(), backend);
 }
 
-fn read_name<T: FromStr>(name: &str, reader: &mut Reader<'_>) -> Option<T> {
-    let id = name.parse().ok();
+fn read_name<T: for<'a> TryFrom<&'a Arc<str>>>(
+    name: &Arc<str>,
+    reader: &mut Reader<'_>,
+) -> Option<T> {
+    let id = T::try_from(name).ok();
     if id.is_none() {
         reader.reject("", &format!("a name behind the kind of section: {NAME}"));
     }
--- a/crates/mallowpath/src/id.rs
+++ b/crates/mallowpath/src/id.rs
@@ -60,10 +60,19 @@
             type Err = ParseIdError;
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
+                Self::try_from(&Arc::from(text))
+            }
+        }
+
+        impl TryFrom<&Arc<str>> for $name {
+            type Error = ParseIdError;
+
+            /// Takes over a name without a copy of its text.
+            fn try_from(text: &Arc<str>) -> Result<Self, Self::Error> {
                 if !is_name(text) {
                     return expected("a name of letters, digits and - _ . / :");
                 }
-                Ok(Self(Arc::from(text)))
+                Ok(Self(Arc::clone(text)))
             }
         }
     };
--- a/crates/mallowpath/src/section.rs
+++ b/crates/mallowpath/src/section.rs
@@ -148,6 +148,21 @@
         self.optional(key, expected)
     }
 
+    /// Reads a name that has to be there, without a copy of its text.
+    pub(crate) fn required_name<T: for<'t> TryFrom<&'t Arc<str>>>(
+        &mut self,
+        key: &'static str,
+        expected: &str,
+    ) -> Option<T> {
+        self.require(key, expected);
+        self.known.push(key);
+        let name = T::try_from(self.entries.get(key)?).ok();
+        if name.is_none() {
+            self.reject(key, expected);
+        }
+        name
+    }
+
     /// Reads a whole number from `min` to `max`, or takes the default.
     pub(crate) fn number(&mut self, key: &'static str, min: u64, max: u64, default: u64) -> u64 {
         let expected = format!("a whole number from {min} to {max}, such as 1_000, 5k or 2M");
