--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -217,8 +217,8 @@
 #[argh(
     subcommand,
     name = "audit",
-    note = "Copies of a bill are void and only counted. A conflict is a copy with another amount. HANDED OUT is
-what routers took out of a budget and did not return; bills may never exceed it.",
+    note = "Copies of a bill are void and only counted. A conflict is a copy with another amount. Bills of a
+budget may never exceed what is spent of it and what routers still hold (out).",
     example = "$ {command_name} --log 10.0.0.5:9000",
     error_code(1, "bills conflict, have no meaning or exceed what was handed out")
 )]
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -67,6 +67,7 @@
 
 mod admin;
 mod admin_client;
+mod admission;
 mod audit;
 mod audit_log;
 mod backend;
@@ -83,6 +84,7 @@
 mod change_plan;
 mod chat;
 mod checkpoint;
+mod checkpoint_pace;
 mod checkpoint_reader;
 mod claim_verdict;
 mod clock;
@@ -112,10 +114,16 @@
 mod keeper_account;
 mod keeper_task;
 mod key;
+mod key_call;
 mod key_claim;
+mod key_client;
 mod key_message;
+mod key_owner;
 mod key_replica;
+mod key_run;
 mod key_table;
+mod key_takeover;
+mod key_task;
 mod ledger;
 mod ledger_records;
 mod limbo;
@@ -126,7 +134,9 @@
 mod load_queue;
 mod log_client;
 mod logging;
+mod lost_routers;
 mod members;
+mod members_task;
 mod order;
 mod order_task;
 mod outbox;
@@ -136,6 +146,9 @@
 mod publish;
 mod rate;
 mod reclaim;
+mod reclaim_task;
+mod reclaim_words;
+mod reclaims;
 mod refusal;
 mod rendezvous;
 mod replay;
@@ -153,12 +166,14 @@
 mod settings;
 mod sidecar;
 mod sidecar_calls;
+mod sidecar_join;
 mod sidecar_orders;
 mod signal;
 mod slice;
 mod slice_wire;
 mod standing;
 mod top_up;
+mod tries;
 mod verdict;
 mod wallet;
 mod wallet_account;
@@ -167,7 +182,7 @@
 pub use admin::{Hooks, serve_admin};
 pub use admin_client::{AdminClient, find_admin};
 pub use audit::{Audit, BillConflict, BillTotal};
-pub use audit_log::{AuditedBudget, LogAudit, audit_log};
+pub use audit_log::{AuditReport, AuditedBudget, audit_log};
 pub use backend::{Backend, BackendState, LoadReport};
 pub use backoff::Backoff;
 pub use baseline::{least_outstanding, round_robin};
@@ -209,8 +224,13 @@
     Claim, ClaimEvidence, ClaimsCheckpoint, KeyEntry, KeyHash, KeyLog, KeyPeer, KeyRecord,
     KeyShards, KeysChange, KeysRecord, key_shard, recover_keys,
 };
+pub use key_call::{
+    KeyAnswer, KeyAsk, KeyBound, KeyBoundKind, KeyCall, KeyCommit, KeyCopyPart, KeyFinish,
+    KeyLookup, KeyReply,
+};
 pub use key_message::{KeyAck, KeyCopy, KeyCopyHeld, KeyDrop, KeyUpdate};
 pub use key_replica::{CommitAnswer, KeyReplica, KeySettings};
+pub use key_task::{KEY_SHARDS, key_stream};
 pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
@@ -224,7 +244,7 @@
 pub use log_client::{LogClient, LogClientSettings, LogPage, LogRecord};
 pub use logging::{start_logging, wall_clock_ms};
 pub use members::{
-    Fence, FenceDone, FenceTarget, FencedAt, Join, JoinedAt, KeyEpoch, Leave, Members,
+    Fence, FenceDone, FenceTarget, FencedAt, GoneRouter, Join, JoinedAt, KeyEpoch, Leave, Members,
     MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash,
 };
 pub use order::{
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     admin::{Hooks, bind, serve_admin},
+    admission::Admissions,
     bills::Bills,
     budgets::Budgets,
     callers::serve_callers,
@@ -16,22 +17,28 @@
     host_client::{HostClient, HostClientSettings, HostList},
     id::{BackendId, Incarnation, RequestId, Version},
     job::Job,
+    key_task::Keys,
     link::{Endpoint, Link},
     log_client::{LogClient, LogClientSettings},
+    members::Join,
+    members_task::MembersTask,
     order_task::OrderDesk,
-    peers::{sidecar_addresses, witness_addresses},
+    peers::{sidecars, witness_addresses},
+    reclaims::Reclaims,
     refusal::Refusal,
     route::RouteSettings,
     router_calls::serve_call,
-    routes::Routes,
+    routes::{Chosen, Routes},
     running::Running,
     seen::PeersSeen,
     settings::{HostSettings, RouterSettings},
+    sidecar_join::leave,
     wire::{Heartbeat, Hello},
 };
 use metrics::gauge;
 use serde_json::{Value, json};
 use std::{
+    collections::HashSet,
     fmt::{self, Display},
     net::SocketAddr,
     sync::{
@@ -56,8 +63,12 @@
     pub(crate) configuration: Configuration,
     pub(crate) budgets: Budgets,
     pub(crate) bills: Bills,
+    pub(crate) admissions: Arc<Admissions>,
     pub(crate) orders: OrderDesk,
+    pub(crate) keys: Keys,
     routes: Routes,
+    pub(crate) members: MembersTask,
+    pub(crate) reclaims: Reclaims,
     peers_seen: PeersSeen,
     hosts: watch::Receiver<Arc<HostList>>,
     /// Whether there is a configuration.
@@ -121,8 +132,12 @@
                 configuration: Configuration::default(),
                 budgets: Budgets::new(incarnation),
                 bills: Bills::new(incarnation, &settings.tuning),
+                keys: Keys::new(incarnation, peers_address, &settings.tuning),
+                admissions: Admissions::new(settings.tuning.max_waiting),
                 routes: Routes::new(settings.host.zone.clone(), RouteSettings::default()),
                 orders: OrderDesk::default(),
+                members: MembersTask::new(log.clone()),
+                reclaims: Reclaims::default(),
                 peers_seen: PeersSeen::default(),
                 hosts,
                 loaded: AtomicBool::new(false),
@@ -135,7 +150,7 @@
         serve_admin(admin, router.hooks());
         config_task::load(&router).await?;
         router.loaded.store(true, Ordering::Relaxed);
-        router.spawn_tasks(callers, peers);
+        router.spawn_tasks(callers, peers, peers_address);
         let addresses = RouterAddresses {
             callers: callers_address,
             peers: peers_address,
@@ -145,7 +160,12 @@
         Ok((router, addresses))
     }
 
-    fn spawn_tasks(self: &Arc<Self>, callers: TcpListener, peers: TcpListener) {
+    fn spawn_tasks(
+        self: &Arc<Self>,
+        callers: TcpListener,
+        peers: TcpListener,
+        peers_address: SocketAddr,
+    ) {
         let app = front::routes(Arc::clone(self));
         let header_timeout_ms = self.settings.tuning.header_timeout_ms;
         let closing = self.closing.clone();
@@ -155,7 +175,11 @@
         tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::budgets::refill(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.admissions).expire());
         tokio::spawn(crate::order_task::coordinate(Arc::clone(self)));
+        tokio::spawn(Arc::clone(self).follow_members(peers_address));
+        tokio::spawn(crate::reclaim_task::find_lost(Arc::clone(self)));
+        tokio::spawn(crate::key_takeover::tend(Arc::clone(self)));
     }
 
     /// Refuses new work from now on and lets the process end once nothing is in progress.
@@ -174,6 +198,7 @@
             router.running.idle().await;
             crate::bills::settle_all(&router).await;
             crate::budgets::return_all(&router).await;
+            leave(&router.log, router.incarnation).await;
             tokio::time::sleep(Duration::from_millis(LAST_BYTES_MS)).await;
             log::info!("drained");
             router.ended.cancel();
@@ -234,7 +259,7 @@
         &self,
         job: &Job,
         tried: &[BackendId],
-    ) -> std::result::Result<(BackendId, Arc<Link>), Refusal> {
+    ) -> std::result::Result<Chosen, Refusal> {
         self.routes.choose(job, tried)
     }
 
@@ -257,10 +282,14 @@
             "config_author": self.configuration.author(),
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
+            "admission": self.admissions.dump(),
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
             "orders": self.orders.dump(),
+            "members": self.members.dump(),
+            "reclaims": self.reclaims.dump(),
+            "keys": self.keys.dump(),
         })
     }
 
@@ -288,9 +317,12 @@
         let mut heartbeat = Heartbeat {
             accepting: self.is_ready(),
             bills_logged_below: self.bills.logged_below(),
+            closed_grants: self.budgets.closed_grants(),
             ..self.configuration.heartbeat()
         };
-        if !peer.backend.is_empty() {
+        if peer.backend.is_empty() {
+            heartbeat.billed_elsewhere = self.bills.billed_elsewhere(Incarnation(peer.incarnation));
+        } else {
             heartbeat.backend_state = self.backend_state(&peer.backend).into();
         }
         heartbeat
@@ -309,6 +341,7 @@
     }
 
     fn heard(&self, link: &Arc<Link>, heartbeat: &Heartbeat) {
+        self.bills.closed_elsewhere(&heartbeat.billed_elsewhere);
         if link.peer().backend.is_empty() {
             self.configuration.heard(link, heartbeat);
             self.bills.heard(link.peer_incarnation(), heartbeat);
@@ -353,6 +386,28 @@
         }
     }
 
+    async fn follow_members(self: Arc<Self>, address: SocketAddr) {
+        let joining = Arc::clone(&self);
+        tokio::spawn(async move { joining.members.join_router(joining.join(address)).await });
+        self.members.follow(|event| self.members_event(event)).await;
+    }
+
+    fn join(&self, address: SocketAddr) -> Join {
+        Join {
+            incarnation: self.incarnation.0,
+            name: self.settings.host.name.to_string(),
+            address: address.to_string(),
+            zone: self.settings.host.zone.to_string(),
+            router: true,
+            ..Join::default()
+        }
+    }
+
+    /// Returns whether a peer has a connection that it opened.
+    pub(crate) fn is_open(&self, peer: Incarnation) -> bool {
+        self.peers_seen.is_open(peer)
+    }
+
     /// Keeps connections to the sidecars and routers that this router needs.
     async fn follow_hosts(self: Arc<Self>) {
         let mut hosts = self.hosts.clone();
@@ -368,9 +423,16 @@
         loop {
             let list = Arc::clone(&hosts.borrow_and_update());
             self.routes.hosts_changed(&list);
-            let mut wanted = sidecar_addresses(&self.settings.host, &list);
+            let per_service = self.settings.tuning.sidecars_per_service;
+            let mut wanted = Vec::new();
+            let mut names = HashSet::new();
+            for sidecar in sidecars(&self.settings.host, &list, per_service) {
+                wanted.push(sidecar.address);
+                names.insert(&sidecar.name);
+            }
             wanted.extend(witness_addresses(&self.settings.host, &list));
             self.dialer.keep(&wanted, &up, &down);
+            self.routes.forget_unlisted(&names);
             if hosts.changed().await.is_err() {
                 return;
             }
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     id::{GrantId, Incarnation, RequestId, SliceId},
+    key_call::{KeyCall, KeyReply},
     members::{Fence, KeyEpoch},
     propagate::ConfigHeartbeat,
 };
@@ -19,7 +20,7 @@
     /// The message.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42"
     )]
     pub body: Option<Body>,
 }
@@ -102,6 +103,15 @@
     /// Router to sidecar: stop a request; answered by its [`End`].
     #[prost(message, tag = "26")]
     Stop(Stop),
+    /// Router to router: what did you spend of the grants of a fenced router's keepers?
+    #[prost(message, tag = "40")]
+    ReportKeepers(ReportKeepers),
+    /// The answer to [`ReportKeepers`].
+    #[prost(message, tag = "41")]
+    KeepersReport(KeepersReport),
+    /// Router to router: these keepers have no open grant any more.
+    #[prost(message, tag = "42")]
+    KeepersClosed(KeepersClosed),
 }
 
 /// Identifies a process to its peer.
@@ -154,14 +164,20 @@
     /// The log has all bills of the sender's requests below this number, from a router.
     #[prost(uint64, tag = "6")]
     pub bills_logged_below: u64,
+    /// Grants that are closed, so that sums of them can be forgotten, from a router.
+    #[prost(message, repeated, tag = "20")]
+    pub closed_grants: Vec<WireId>,
+    /// Sequence numbers of the receiver's requests that other routers have billed for it.
+    #[prost(uint64, repeated, tag = "21")]
+    pub billed_elsewhere: Vec<u64>,
     /// The offset after the last configuration record that the sender holds, from a router.
-    #[prost(uint64, tag = "20")]
+    #[prost(uint64, tag = "22")]
     pub config_next: u64,
     /// When the heartbeat was sent, by the sender's clock; set by the connection.
-    #[prost(uint64, optional, tag = "21")]
+    #[prost(uint64, optional, tag = "23")]
     pub sent_at_ms: Option<u64>,
     /// `sent_at_ms` of the newest heartbeat that the sender has received; set by the connection.
-    #[prost(uint64, optional, tag = "22")]
+    #[prost(uint64, optional, tag = "24")]
     pub echo_ms: Option<u64>,
 }
 
@@ -302,6 +318,12 @@
     /// The incarnation of the sidecar to which the request was submitted.
     #[prost(fixed64, tag = "3")]
     pub sidecar: u64,
+    /// How long the sidecar waits for a submit that is under way, before it writes a tombstone.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+    /// Whether the end is to carry the bill, for a router that did not submit the request.
+    #[prost(bool, tag = "5")]
+    pub with_bill: bool,
 }
 
 /// The request did not run and will not.
@@ -358,6 +380,9 @@
     /// Stable code of what went wrong; empty when the answer is whole.
     #[prost(string, tag = "6")]
     pub code: String,
+    /// The bill as it is in the bill streams, if it was asked for and the log is not known to have it.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub bill: bytes::Bytes,
 }
 
 /// A slice of a grant on the wire.
@@ -510,20 +535,42 @@
     pub billed: Vec<SlicePart>,
 }
 
-/// A call about idempotency keys, encoded by the key module.
+/// Asks a router what it spent of the grants of a fenced router's keepers.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ReportKeepers {
+    /// The incarnation of the fenced router.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+}
+
+/// What a router spent of the grants of a fenced router's keepers.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyCall {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
+pub struct KeepersReport {
+    /// Whether nothing runs any more that may spend of them.
+    #[prost(bool, tag = "1")]
+    pub settled: bool,
+    /// What was spent of each grant.
+    #[prost(message, repeated, tag = "2")]
+    pub grants: Vec<GrantSum>,
 }
 
-/// The answer to a [`KeyCall`], encoded by the key module.
+/// Tokens of a grant.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct GrantSum {
+    /// The grant.
+    #[prost(message, required, tag = "1")]
+    pub grant: WireId,
+    /// The tokens.
+    #[prost(uint64, tag = "2")]
+    pub tokens: u64,
+}
+
+/// Keepers that have no open grant any more.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct KeyReply {
-    /// The encoded message.
-    #[prost(bytes = "bytes", tag = "1")]
-    pub message: bytes::Bytes,
+pub struct KeepersClosed {
+    /// Their incarnations.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub keepers: Vec<u64>,
 }
 
 /// An order for a backend server.
