Give permits a module and the key tests their bill interval

And with bills gathered for 5 s by default, `the_same_key_through_two_routers_at_once_runs_once` read the log 500 ms after its last call and found 28 or 29 of 30 bills (four runs of four): the batch was not due yet. Ruled out: lost bills; with the 100 ms that the test was written for, all 11 key tests pass (three runs of three). The assertion is unchanged. Change: Permit moves to permit.rs, AttemptResult to tries.rs; the key tests set bill_batch_ms = 100 in their settings.

--- a/crates/embedded/tests/keys/fleet.rs
+++ b/crates/embedded/tests/keys/fleet.rs
@@ -51,6 +51,7 @@
     settings.timing.heartbeat_ms = 100;
     settings.timing.peer_timeout_ms = 600;
     settings.router_tuning.key_takeover_ms = 400;
+    settings.router_tuning.bill_batch_ms = 100;
     settings
 }
 
--- a/crates/mallowpath/src/admission.rs
+++ b/crates/mallowpath/src/admission.rs
@@ -7,11 +7,12 @@
     estimate::{Estimate, whole},
     fair::WorkspaceShare,
     fleet::{Service, ServiceKind, Workspace},
-    id::{ServiceId, WorkspaceId},
+    id::ServiceId,
     limit::{
         Admission, AdmissionRefusal, AdmissionSettings, Admitted, Offer, Polled, RefusalReason,
     },
     link::now_ms,
+    permit::{Permit, PermitSeed, Used},
     refusal::{Code, Refusal},
     retry::{FailedTry, NoRetry, RetryBudget, RetrySettings},
 };
@@ -19,7 +20,7 @@
 use serde_json::{Value, json};
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 use tokio::{
@@ -65,14 +66,6 @@
     decision: oneshot::Sender<Decision>,
 }
 
-/// What a permit is made of.
-#[derive(Debug, Clone)]
-struct PermitSeed {
-    service: ServiceId,
-    workspace: WorkspaceId,
-    tokens: u64,
-}
-
 /// What a request that waited is told.
 #[derive(Debug)]
 enum Decision {
@@ -86,22 +79,6 @@
     Wait(u64, oneshot::Receiver<Decision>),
 }
 
-/// The right of one request to run; it ends when it is dropped.
-#[derive(Debug)]
-pub(crate) struct Permit {
-    admissions: Weak<Admissions>,
-    seed: PermitSeed,
-    started_at_ms: u64,
-    used: Option<Used>,
-}
-
-/// What a request used that ran.
-#[derive(Debug, Clone, Copy)]
-struct Used {
-    tokens: u64,
-    whole: bool,
-}
-
 /// A request that asks for a permit.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Ask<'a> {
@@ -235,12 +212,29 @@
     }
 
     fn permit(self: &Arc<Self>, seed: PermitSeed) -> Permit {
-        Permit {
-            admissions: Arc::downgrade(self),
-            seed,
-            started_at_ms: now_ms(),
-            used: None,
+        Permit::new(Arc::downgrade(self), seed)
+    }
+
+    /// Ends a permit that was held for `run_ms`.
+    pub(crate) fn end(self: &Arc<Self>, seed: &PermitSeed, used: Option<Used>, run_ms: u64) {
+        let PermitSeed {
+            service,
+            workspace,
+            tokens,
+        } = seed;
+        if let Some(desk) = self.desks().get_mut(service) {
+            let now_ms = now_ms();
+            if used.is_some_and(|used| used.whole) {
+                desk.run_ms.record(run_ms as f64, now_ms);
+            }
+            match used {
+                Some(Used { tokens: used, .. }) => {
+                    desk.admission.end(workspace, *tokens, used, run_ms, now_ms);
+                }
+                None => desk.admission.give_back(workspace, *tokens),
+            }
         }
+        self.poll(service);
     }
 
     /// Takes in the time to the first part of an answer, of which `expected_ms` are no queueing.
@@ -343,13 +337,6 @@
     }
 }
 
-impl Permit {
-    /// Ends the permit of a request that ran, with the tokens used and whether its answer is whole.
-    pub(crate) fn finish(mut self, tokens: u64, whole: bool) {
-        self.used = Some(Used { tokens, whole });
-    }
-}
-
 #[cold]
 fn refusal(ask: Ask<'_>, refused: AdmissionRefusal) -> Refusal {
     let (reason, text) = match refused.reason {
@@ -371,34 +358,6 @@
     Refusal::not_run(Code::Overloaded, text).after(EXPIRED_RETRY_AFTER_MS)
 }
 
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let Some(admissions) = self.admissions.upgrade() else {
-            return;
-        };
-        let PermitSeed {
-            service,
-            workspace,
-            tokens,
-        } = &self.seed;
-        if let Some(desk) = admissions.desks().get_mut(service) {
-            let now_ms = now_ms();
-            let run_ms = now_ms.saturating_sub(self.started_at_ms);
-            if self.used.is_some_and(|used| used.whole) {
-                desk.run_ms.record(run_ms as f64, now_ms);
-            }
-            match self.used {
-                Some(used) => {
-                    let used = used.tokens;
-                    desk.admission.end(workspace, *tokens, used, run_ms, now_ms);
-                }
-                None => desk.admission.give_back(workspace, *tokens),
-            }
-        }
-        admissions.poll(service);
-    }
-}
-
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let mut desks = self.admissions.desks();
--- a/crates/mallowpath/src/job.rs
+++ b/crates/mallowpath/src/job.rs
@@ -5,7 +5,7 @@
 //! given up gets its final answer at once.
 
 use crate::{
-    admission::{Ask, Permit},
+    admission::Ask,
     bill::{Bill, BillOutcome},
     chat::Usage,
     engine::end_code,
@@ -14,11 +14,12 @@
     key_client::JobKey,
     limbo,
     link::{Call, now_ms},
+    permit::Permit,
     refusal::{Code, Outcome, Refusal},
     reservation::Reservation,
     router::Router,
-    routes::{AttemptResult, Chosen, Forecast},
-    tries::{Failed, Tries, attempt_result},
+    routes::{Chosen, Forecast},
+    tries::{AttemptResult, Failed, Tries, attempt_result},
     wire::{Attach, Body, Chunk, End, Head, SlicePart, Submit},
 };
 use bytes::Bytes;
--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -4,7 +4,6 @@
 //! attaches to the run that has it, and gets that run's answer, which is billed once.
 
 use crate::{
-    admission::Permit,
     bill::{Bill, BillRecord},
     id::{BackendId, RequestId, Tokens},
     job::{Attempt, Delivery, Ended, Job, Output, RETRY_AFTER_MS, Receipt, lost, receipt},
@@ -12,6 +11,7 @@
     key_client::{Bound, JobKey},
     limbo,
     link::{Link, now_ms},
+    permit::Permit,
     refusal::{Code, Refusal},
     reservation::Reservation,
     router::Router,
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -140,6 +140,7 @@
 mod order_task;
 mod outbox;
 mod peers;
+mod permit;
 mod prefix;
 mod propagate;
 mod publish;
--- a/crates/mallowpath/src/routes.rs
+++ b/crates/mallowpath/src/routes.rs
@@ -9,6 +9,7 @@
     link::{Link, now_ms},
     refusal::{Code, Refusal},
     route::{RouteRequest, RouteSettings, RouteTable},
+    tries::AttemptResult,
     wire::Heartbeat,
 };
 use rand::random;
@@ -60,17 +61,6 @@
     pub(crate) unqueued_ms: f64,
 }
 
-/// What the end of an attempt says about its backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AttemptResult {
-    /// It answered.
-    Success,
-    /// It failed.
-    Failure,
-    /// Nothing: the caller left or the sidecar refused.
-    Neither,
-}
-
 impl Routes {
     /// Makes empty tables for a router in `zone`.
     pub(crate) fn new(zone: Zone, settings: RouteSettings) -> Self {
--- a/crates/mallowpath/src/tries.rs
+++ b/crates/mallowpath/src/tries.rs
@@ -8,7 +8,6 @@
     refusal::Refusal,
     retry::{FailedTry, TryOutcome},
     router::Router,
-    routes::AttemptResult,
     wire::End,
 };
 use std::time::{Duration, Instant};
@@ -18,6 +17,17 @@
 /// The lowest HTTP status by which a backend server says that it failed.
 const SERVER_ERROR: u32 = 500;
 
+/// What the end of an attempt says about its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptResult {
+    /// It answered.
+    Success,
+    /// It failed.
+    Failure,
+    /// Nothing: the caller left or the sidecar refused.
+    Neither,
+}
+
 /// A try that failed and might be repeated.
 pub(crate) enum Failed {
     /// It surely did not run.
