--- a/crates/mallowpath/src/audit_log.rs
+++ b/crates/mallowpath/src/audit_log.rs
@@ -47,36 +47,16 @@
     pub billed: BillTotal,
 }
 
-impl AuditReport {
-    /// Returns whether something is wrong with the books.
-    pub fn is_wrong(&self) -> bool {
-        let mut wrong = self.conflict_count > 0 || self.malformed_count > 0;
-        for budget in self.budgets.values() {
-            wrong |= budget.is_overspent() || budget.is_overbilled();
-        }
-        wrong
-    }
-}
-
 impl AuditedBudget {
-    /// Returns what was paid for.
-    pub fn paid(&self) -> Tokens {
-        self.balance.limit.saturating_add(self.balance.top_ups)
-    }
-
-    /// Returns what was handed out and has not come back.
-    pub fn handed_out(&self) -> Tokens {
-        self.balance.spent.saturating_add(self.balance.open)
-    }
-
     /// Returns whether more was billed than the ledger says to be spent or held for spending.
     pub fn is_overbilled(&self) -> bool {
-        self.billed.tokens > self.handed_out()
+        self.billed.tokens > self.balance.spent.saturating_add(self.balance.open)
     }
 
     /// Returns whether more is spent than was paid for.
     pub fn is_overspent(&self) -> bool {
-        self.balance.spent > self.paid()
+        let paid = self.balance.limit.saturating_add(self.balance.top_ups);
+        self.balance.spent > paid
     }
 
     /// Returns what the ledger says to be spent without a bill, such as tokens written off.
