Say unknown of a key that can't be looked up

Ruled out: holding the request until a takeover, which delays the answer; not_run for first requests only, since a router can't tell first from second. Change: key_unavailable says unknown, with the time to come back, also where another refusal came first.

--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -209,8 +209,8 @@
             Bound::Other { entry, .. } if entry.request_id == keyed.job.id => {
                 return Step::Done(Err(refusal));
             }
-            Bound::Own(_) | Bound::Free | Bound::Unavailable => return Step::Done(Err(refusal)),
-            Bound::Other { .. } | Bound::Mismatch | Bound::Unknown => {}
+            Bound::Own(_) | Bound::Free => return Step::Done(Err(refusal)),
+            Bound::Other { .. } | Bound::Mismatch | Bound::Unknown | Bound::Unavailable => {}
         }
         match self.answer(keyed, bound, delivery).await {
             Step::Again => Step::Done(Err(refusal)),
@@ -238,8 +238,9 @@
                 Step::Done(Err(Refusal::unknown(Code::KeyUnavailable, text)))
             }
             Bound::Own(_) | Bound::Free | Bound::Unavailable => {
+                // An earlier request with the key may have run.
                 let text = "the idempotency key can't be checked at the moment";
-                let refusal = Refusal::not_run(Code::KeyUnavailable, text);
+                let refusal = Refusal::unknown(Code::KeyUnavailable, text);
                 Step::Done(Err(refusal.after(RETRY_AFTER_MS)))
             }
         }
