Let an operator keep serving through an outage of log and host list

Cause: with log and host list both down for over 4 s every sidecar refused all work, and no setting could choose otherwise; the co-operative weighs refusals more than a server that leaves late. Ruled out: once as the default, since a leaving server is to get no work after 5 s. Change: confirmation = once takes the last word heard for as long as nothing newer comes. Conclusion: tested in the decision module; not tried over processes.

--- a/crates/mallowpath/src/settings.rs
+++ b/crates/mallowpath/src/settings.rs
@@ -303,7 +303,7 @@
         keep_answer_ms: millis(reader, "keep_answer_ms", default.keep_answer_ms),
         unconfirmed_after_ms: millis(reader, "unconfirmed_after_ms", default.unconfirmed_after_ms),
         confirmation: reader
-            .optional("confirmation", "any or all")
+            .optional("confirmation", "any, all or once")
             .unwrap_or(default.confirmation),
         load_poll_ms: millis(reader, "load_poll_ms", default.load_poll_ms),
         server_checks_fences: reader.choice(
--- a/crates/mallowpath/src/standing.rs
+++ b/crates/mallowpath/src/standing.rs
@@ -22,6 +22,8 @@
     Any,
     /// The configuration and the host list.
     All,
+    /// Neither, once one was: the last word heard holds.
+    Once,
 }
 
 /// Why a sidecar takes no new work.
@@ -107,6 +109,7 @@
         let confirmed = match needs {
             Confirmation::Any => by_config || by_hosts,
             Confirmation::All => by_config && by_hosts,
+            Confirmation::Once => !self.is_new(),
         };
         (!confirmed).then_some(NoWork::Unconfirmed)
     }
@@ -147,6 +150,7 @@
         f.write_str(match self {
             Self::Any => "any",
             Self::All => "all",
+            Self::Once => "once",
         })
     }
 }
@@ -158,7 +162,8 @@
         match text {
             "any" => Ok(Self::Any),
             "all" => Ok(Self::All),
-            _ => expected("any or all"),
+            "once" => Ok(Self::Once),
+            _ => expected("any, all or once"),
         }
     }
 }
--- a/crates/mallowpath/tests/standing.rs
+++ b/crates/mallowpath/tests/standing.rs
@@ -92,6 +92,17 @@
     assert_eq!(refusals(&standing, 1_601), [unconfirmed, unconfirmed]);
 }
 
+#[test]
+fn a_sidecar_that_asks_for_one_confirmation_keeps_to_the_last_word() {
+    let mut standing = Standing::default();
+    let refusal = |standing: &Standing| standing.refusal(Confirmation::Once, LIMIT_MS, 1_000_000);
+    assert_eq!(refusal(&standing), Some(NoWork::Unconfirmed));
+    standing.router_said(Version(1), "active", confirmed(100), 1_000);
+    assert_eq!(refusal(&standing), None);
+    standing.router_said(Version(2), "leaving", confirmed(100), 2_000);
+    assert_eq!(refusal(&standing), Some(NoWork::Configuration));
+}
+
 #[test]
 fn a_host_that_was_there_and_is_gone_leaves() {
     let mut standing = Standing::default();
