Split messages by topic and an answer's delivery from its request

Change: wire_run.rs and wire_budget.rs hold the messages of runs and of budgets; delivery.rs hands an answer on. No behaviour changed.

--- a/crates/mallowpath/src/key_run.rs
+++ b/crates/mallowpath/src/key_run.rs
@@ -5,8 +5,9 @@
 
 use crate::{
     bill::{Bill, BillRecord},
+    delivery::Delivery,
     id::{BackendId, RequestId, Tokens},
-    job::{Attempt, Delivery, Ended, Job, Output, RETRY_AFTER_MS, Receipt, lost, receipt},
+    job::{Attempt, Ended, Job, Output, RETRY_AFTER_MS, Receipt, lost, receipt},
     key::KeyEntry,
     key_client::{Bound, JobKey},
     limbo,
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -93,6 +93,7 @@
 mod concurrency;
 mod config_task;
 mod configuration;
+mod delivery;
 mod dialer;
 mod eject;
 mod engine;
@@ -181,6 +182,8 @@
 mod wallet;
 mod wallet_account;
 mod wire;
+mod wire_budget;
+mod wire_run;
 
 pub use admin::{Hooks, serve_admin};
 pub use admin_client::{AdminClient, find_admin};
--- a/crates/mallowpath/src/tries.rs
+++ b/crates/mallowpath/src/tries.rs
@@ -1,9 +1,10 @@
 //! The tries of one request at several backend servers.
 
 use crate::{
+    delivery::Delivery,
     engine::end_code,
     id::BackendId,
-    job::{Attempt, Delivery, Ended, Job, NoEnd},
+    job::{Attempt, Ended, Job, NoEnd},
     link::now_ms,
     refusal::Refusal,
     retry::{FailedTry, TryOutcome},
