--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -173,7 +173,7 @@
         tokio::spawn(Arc::clone(self).accept(peers));
         tokio::spawn(Arc::clone(self).follow_hosts());
         tokio::spawn(config_task::follow(Arc::clone(self)));
-        tokio::spawn(crate::budgets::refill(Arc::clone(self)));
+        tokio::spawn(crate::slice_exchange::refill(Arc::clone(self)));
         tokio::spawn(crate::budget_limits::follow(Arc::clone(self)));
         tokio::spawn(crate::bills::flush(Arc::clone(self)));
         tokio::spawn(Arc::clone(&self.admissions).expire());
