Use one form of identifiers in records and messages

Cause: RecordId and WireId were the same two fields, with their conversions written out six and two times. Conclusion: the crate's tests pass; bytes on the wire and in the log are unchanged by construction.

--- a/crates/mallowpath/src/bill.rs
+++ b/crates/mallowpath/src/bill.rs
@@ -137,13 +137,13 @@
         let mut parts = Vec::with_capacity(self.parts.len());
         for part in &self.parts {
             parts.push(PartRecord {
-                slice: to_record_id(part.slice.incarnation, part.slice.sequence),
+                slice: part.slice.into(),
                 grant: part.grant.into(),
                 tokens: part.tokens.0,
             });
         }
         BillRecord {
-            request: to_record_id(self.request.incarnation, self.request.sequence),
+            request: self.request.into(),
             workspace: self.workspace.to_string(),
             budget: self.budget.to_string(),
             parts,
@@ -182,10 +182,3 @@
         })
     }
 }
-
-fn to_record_id(incarnation: Incarnation, sequence: u64) -> RecordId {
-    RecordId {
-        incarnation: incarnation.0,
-        sequence,
-    }
-}
--- a/crates/mallowpath/src/budgets.rs
+++ b/crates/mallowpath/src/budgets.rs
@@ -6,6 +6,7 @@
     keeper_task::{KeeperTask, describe_ledger, keeper_incarnation},
     ledger::{LEDGER_SHARDS, shard_of},
     link::now_ms,
+    record_id::RecordId,
     refusal::{Code, Refusal},
     reservation::{Reservation, ReserveOutcome, SlicePart},
     router::Router,
@@ -184,7 +185,7 @@
     }
 
     /// Returns the grants that closed lately, as many as go into one heartbeat.
-    pub(crate) fn closed_grants(&self) -> Vec<wire::WireId> {
+    pub(crate) fn closed_grants(&self) -> Vec<RecordId> {
         let newly_closed = self.wallet().take_closed_grants();
         let mut closed = self.closed.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = now_ms();
--- a/crates/mallowpath/src/checkpoint.rs
+++ b/crates/mallowpath/src/checkpoint.rs
@@ -5,7 +5,8 @@
 use crate::{
     Balance, BudgetId, Incarnation, Ledger, LedgerError, Offset, Tokens, Version,
     ledger::{LastDraw, OpenGrant},
-    ledger_records::{CheckpointRecord, DrawRecord, RecordId},
+    ledger_records::{CheckpointRecord, DrawRecord},
+    record_id::RecordId,
     verdict::{DamagedCheckpointSnafu, NoStartSnafu},
 };
 use prost::Message;
--- a/crates/mallowpath/src/ledger_records.rs
+++ b/crates/mallowpath/src/ledger_records.rs
@@ -1,17 +1,6 @@
 //! Records of the `ledger-NN` streams.
 
-use crate::{BudgetId, GrantId, Incarnation, Offset, Tokens, Version};
-
-/// An identifier made by one process, as it stands in a record.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
-pub struct RecordId {
-    /// The process that made the identifier.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
-    /// Its number among those that the process made.
-    #[prost(uint64, tag = "2")]
-    pub sequence: u64,
-}
+use crate::{BudgetId, GrantId, Offset, RecordId, Tokens, Version};
 
 /// What one append to a ledger stream carries.
 ///
@@ -214,21 +203,3 @@
         }
     }
 }
-
-impl From<GrantId> for RecordId {
-    fn from(id: GrantId) -> Self {
-        Self {
-            incarnation: id.incarnation.0,
-            sequence: id.sequence,
-        }
-    }
-}
-
-impl From<RecordId> for GrantId {
-    fn from(id: RecordId) -> Self {
-        Self {
-            incarnation: Incarnation(id.incarnation),
-            sequence: id.sequence,
-        }
-    }
-}
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -153,6 +153,7 @@
 mod reclaim_task;
 mod reclaim_words;
 mod reclaims;
+mod record_id;
 mod refusal;
 mod rendezvous;
 mod replay;
@@ -242,7 +243,7 @@
 pub use ledger::{DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of};
 pub use ledger_records::{
     CheckpointRecord, CloseRecord, DrawRecord, LedgerBatch, LedgerEntry, LedgerRecord, LimitRecord,
-    RecordId, TopUpRecord,
+    TopUpRecord,
 };
 pub use limit::{
     Admission, AdmissionRefusal, AdmissionSettings, Admitted, Offer, Polled, RefusalReason,
@@ -266,6 +267,7 @@
 pub use propagate::{ConfigHeartbeat, Propagation};
 pub use publish::{Published, publish, publish_on};
 pub use reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
+pub use record_id::RecordId;
 pub use refusal::{Code, Outcome, Refusal};
 pub use rendezvous::{Candidate, HostPlace, SubsetSettings, pick, pick_n, rendezvous_key, subset};
 pub use replay::{ConfigLoader, ConfigState, ConfigVerdict, ConfigVoid, ReplayError};
--- a/crates/mallowpath/src/wire.rs
+++ b/crates/mallowpath/src/wire.rs
@@ -5,10 +5,10 @@
 //! belongs to the connection itself: [`Hello`] and [`Heartbeat`].
 
 use crate::{
-    id::{GrantId, Incarnation, RequestId, SliceId},
     key_call::{KeyCall, KeyReply},
     members::Fence,
     propagate::ConfigHeartbeat,
+    record_id::RecordId,
 };
 pub use crate::{
     wire_budget::{
@@ -176,7 +176,7 @@
     pub bills_logged_below: u64,
     /// Grants that are closed, so that sums of them can be forgotten, from a router.
     #[prost(message, repeated, tag = "20")]
-    pub closed_grants: Vec<WireId>,
+    pub closed_grants: Vec<RecordId>,
     /// Sequence numbers of the receiver's requests that other routers have billed for it.
     #[prost(uint64, repeated, tag = "21")]
     pub billed_elsewhere: Vec<u64>,
@@ -227,17 +227,6 @@
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Cancel {}
 
-/// A request identifier on the wire.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, prost::Message)]
-pub struct WireId {
-    /// The incarnation of the process that made the identifier.
-    #[prost(fixed64, tag = "1")]
-    pub incarnation: u64,
-    /// Its number among those of the process.
-    #[prost(uint64, tag = "2")]
-    pub sequence: u64,
-}
-
 /// Empty message of [`Body::Done`].
 #[expect(clippy::empty_structs_with_brackets, reason = "the derive needs them")]
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -286,57 +275,3 @@
         (answer, self.echo_ms.unwrap_or_default())
     }
 }
-
-impl From<RequestId> for WireId {
-    fn from(id: RequestId) -> Self {
-        Self {
-            incarnation: id.incarnation.0,
-            sequence: id.sequence,
-        }
-    }
-}
-
-impl From<WireId> for RequestId {
-    fn from(id: WireId) -> Self {
-        Self {
-            incarnation: Incarnation(id.incarnation),
-            sequence: id.sequence,
-        }
-    }
-}
-
-impl From<GrantId> for WireId {
-    fn from(id: GrantId) -> Self {
-        Self {
-            incarnation: id.incarnation.0,
-            sequence: id.sequence,
-        }
-    }
-}
-
-impl From<WireId> for GrantId {
-    fn from(id: WireId) -> Self {
-        Self {
-            incarnation: Incarnation(id.incarnation),
-            sequence: id.sequence,
-        }
-    }
-}
-
-impl From<SliceId> for WireId {
-    fn from(id: SliceId) -> Self {
-        Self {
-            incarnation: id.incarnation.0,
-            sequence: id.sequence,
-        }
-    }
-}
-
-impl From<WireId> for SliceId {
-    fn from(id: WireId) -> Self {
-        Self {
-            incarnation: Incarnation(id.incarnation),
-            sequence: id.sequence,
-        }
-    }
-}
--- a/crates/mallowpath/src/wire_budget.rs
+++ b/crates/mallowpath/src/wire_budget.rs
@@ -1,16 +1,16 @@
 //! Messages about slices of budgets and about bills.
 
-use crate::{wire::WireId, wire_run::SlicePart};
+use crate::{record_id::RecordId, wire_run::SlicePart};
 
 /// A slice of a grant on the wire.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct WireSlice {
     /// The slice.
     #[prost(message, required, tag = "1")]
-    pub id: WireId,
+    pub id: RecordId,
     /// The grant that it is part of.
     #[prost(message, required, tag = "2")]
-    pub grant: WireId,
+    pub grant: RecordId,
     /// Tokens in it.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
@@ -111,7 +111,7 @@
 pub struct BillsLogged {
     /// Requests whose bills are in the log.
     #[prost(message, repeated, tag = "1")]
-    pub requests: Vec<WireId>,
+    pub requests: Vec<RecordId>,
 }
 
 /// A sidecar's confirmation of a fence.
@@ -149,7 +149,7 @@
 pub struct GrantSum {
     /// The grant.
     #[prost(message, required, tag = "1")]
-    pub grant: WireId,
+    pub grant: RecordId,
     /// The tokens.
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
--- a/crates/mallowpath/src/wire_run.rs
+++ b/crates/mallowpath/src/wire_run.rs
@@ -1,16 +1,13 @@
 //! Messages about runs and orders, between routers and sidecars.
 
-use crate::{
-    members::KeyEpoch,
-    wire::{Ordered, WireId},
-};
+use crate::{members::KeyEpoch, record_id::RecordId, wire::Ordered};
 
 /// A request to run.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Submit {
     /// The request's identifier.
     #[prost(message, required, tag = "1")]
-    pub request: WireId,
+    pub request: RecordId,
     /// The workspace that pays.
     #[prost(string, tag = "2")]
     pub workspace: String,
@@ -74,13 +71,13 @@
 pub struct SlicePart {
     /// The slice.
     #[prost(message, required, tag = "1")]
-    pub slice: WireId,
+    pub slice: RecordId,
     /// Tokens taken from it.
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
     /// The grant that the slice is part of.
     #[prost(message, required, tag = "3")]
-    pub grant: WireId,
+    pub grant: RecordId,
 }
 
 /// Asks for the answer of an earlier request.
@@ -88,7 +85,7 @@
 pub struct Attach {
     /// The request's identifier.
     #[prost(message, required, tag = "1")]
-    pub request: WireId,
+    pub request: RecordId,
     /// The first chunk that the router lacks.
     #[prost(uint64, tag = "2")]
     pub from_chunk: u64,
@@ -167,7 +164,7 @@
 pub struct Stop {
     /// The request's identifier.
     #[prost(message, required, tag = "1")]
-    pub request: WireId,
+    pub request: RecordId,
 }
 
 /// An order for a backend server.
