Give every answer a request identifier, and accept peers in one place

Cause: refusals before a request began, the list of models and unknown paths carried no identifier, though every answer is to; the loop that accepts peers stood in router and sidecar alike. Ruled out: an identifier from the start of each call, since a slow body would hold the bill watermark back. Change: such answers take an identifier that is closed at once; link_io::accept_links serves both processes; callers.rs asks for the identifier (the test was not run against the old code).

--- a/crates/embedded/tests/callers.rs
+++ b/crates/embedded/tests/callers.rs
@@ -185,6 +185,8 @@
         let error = &answer.json()["error"];
         assert_eq!(error["code"], code, "{name}");
         assert_eq!(error["outcome"], "not_run", "{name}");
+        let id = error["request_id"].as_str().expect("an identifier");
+        assert_eq!(answer.headers["x-request-id"], id, "{name}");
         assert!(
             error["message"]
                 .as_str()
--- a/crates/mallowpath/src/answer.rs
+++ b/crates/mallowpath/src/answer.rs
@@ -13,7 +13,7 @@
 };
 use futures_util::Stream;
 use serde_json::json;
-use std::{convert::Infallible, fmt::Write};
+use std::convert::Infallible;
 use tokio::sync::mpsc;
 
 const REQUEST_ID: &str = "x-request-id";
@@ -27,15 +27,15 @@
     mut outputs: mpsc::Receiver<Output>,
 ) -> Response<Body> {
     match outputs.recv().await {
-        Some(Output::Refused(refusal)) => refusal_response(&refusal, Some(id)),
+        Some(Output::Refused(refusal)) => refusal_response(&refusal, id),
         Some(Output::Head(head)) if head.status >= 400 => {
             collect_plain(id, Some(head), outputs).await
         }
         Some(_) => {
             let body = Body::from_stream(events(id, outputs));
-            response(StatusCode::OK, "text/event-stream", body, Some(id))
+            response(StatusCode::OK, "text/event-stream", body, id)
         }
-        None => refusal_response(&broke_off(), Some(id)),
+        None => refusal_response(&broke_off(), id),
     }
 }
 
@@ -75,7 +75,7 @@
             Bytes::from(format!("data: {last}\n\ndata: [DONE]\n\n"))
         }
         Output::Refused(refusal) => {
-            let text = refusal.to_json(Some(&id.to_string()));
+            let text = refusal.to_json(&id.to_string());
             Bytes::from(format!("event: error\ndata: {text}\n\n"))
         }
     }
@@ -136,18 +136,13 @@
                     "mallowpath": billed(&receipt),
                 });
                 let body = Body::from(answer.to_string());
-                let response = response(
-                    StatusCode::OK,
-                    "application/json",
-                    body,
-                    Some(receipt.request),
-                );
+                let response = response(StatusCode::OK, "application/json", body, receipt.request);
                 return with_bill(response, &receipt);
             }
-            Output::Refused(refusal) => return refusal_response(&refusal, Some(id)),
+            Output::Refused(refusal) => return refusal_response(&refusal, id),
         }
     }
-    refusal_response(&broke_off(), Some(id))
+    refusal_response(&broke_off(), id)
 }
 
 pub(crate) async fn whole_plain(id: RequestId, outputs: mpsc::Receiver<Output>) -> Response<Body> {
@@ -168,10 +163,10 @@
                 let Some(head) = answer_head else { break };
                 return passed_on(&head, raw, &receipt);
             }
-            Output::Refused(refusal) => return refusal_response(&refusal, Some(id)),
+            Output::Refused(refusal) => return refusal_response(&refusal, id),
         }
     }
-    refusal_response(&broke_off(), Some(id))
+    refusal_response(&broke_off(), id)
 }
 
 /// Hands on an answer of a backend server with its own status.
@@ -180,12 +175,7 @@
         .ok()
         .and_then(|code| StatusCode::from_u16(code).ok());
     let status = status.unwrap_or(StatusCode::BAD_GATEWAY);
-    let response = response(
-        status,
-        &head.content_type,
-        Body::from(raw),
-        Some(receipt.request),
-    );
+    let response = response(status, &head.content_type, Body::from(raw), receipt.request);
     with_bill(response, receipt)
 }
 
@@ -195,12 +185,8 @@
     response
 }
 
-pub(crate) fn refusal_response(refusal: &Refusal, id: Option<RequestId>) -> Response<Body> {
-    let mut name = String::new();
-    if let Some(id) = id {
-        write!(name, "{id}").expect("writing to a string does not fail");
-    }
-    let text = refusal.to_json(id.is_some().then_some(name.as_str()));
+pub(crate) fn refusal_response(refusal: &Refusal, id: RequestId) -> Response<Body> {
+    let text = refusal.to_json(&id.to_string());
     let mut response = response(refusal.status(), "application/json", Body::from(text), id);
     if let Some(retry_after_ms) = refusal.retry_after_ms {
         let seconds = HeaderValue::from(retry_after_ms.div_ceil(1000));
@@ -209,16 +195,11 @@
     response
 }
 
-pub(crate) fn json_response(status: StatusCode, text: String) -> Response<Body> {
-    response(status, "application/json", Body::from(text), None)
+pub(crate) fn json_response(status: StatusCode, text: String, id: RequestId) -> Response<Body> {
+    response(status, "application/json", Body::from(text), id)
 }
 
-fn response(
-    status: StatusCode,
-    content_type: &str,
-    body: Body,
-    id: Option<RequestId>,
-) -> Response<Body> {
+fn response(status: StatusCode, content_type: &str, body: Body, id: RequestId) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -227,9 +208,7 @@
     {
         headers.insert(header::CONTENT_TYPE, value);
     }
-    if let Some(id) = id
-        && let Ok(value) = HeaderValue::from_str(&id.to_string())
-    {
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
         headers.insert(REQUEST_ID, value);
     }
     response
--- a/crates/mallowpath/src/front.rs
+++ b/crates/mallowpath/src/front.rs
@@ -34,9 +34,6 @@
 const REPEATABLE: &str = "x-mallowpath-repeatable";
 const MAX_KEY_BYTES: usize = 255;
 
-/// A caller's answer to a refusal needs the request's identifier, once there is one.
-type Refused = (Refusal, Option<RequestId>);
-
 /// Returns the callers' paths.
 pub(crate) fn routes(router: Arc<Router>) -> axum::Router {
     axum::Router::new()
@@ -44,10 +41,19 @@
         .route("/v1/models", get(models))
         .route("/services/{service}", any(plain_root))
         .route("/services/{service}/{*path}", any(plain))
-        .fallback(|| async { refusal_response(&not_found(), None) })
+        .fallback(unknown_path)
         .with_state(router)
 }
 
+async fn unknown_path(State(router): State<Arc<Router>>) -> Response<Body> {
+    refuse(&router, &not_found())
+}
+
+/// Refuses a request that did not get as far as an identifier; its answer carries one all the same.
+fn refuse(router: &Router, refusal: &Refusal) -> Response<Body> {
+    refusal_response(refusal, router.unused_request())
+}
+
 fn not_found() -> Refusal {
     Refusal::not_run(
         Code::NotFound,
@@ -59,19 +65,19 @@
     match start_chat(&router, request).await {
         Ok((id, true, outputs)) => event_stream(id, outputs).await,
         Ok((id, false, outputs)) => whole_chat(id, outputs).await,
-        Err((refusal, id)) => refusal_response(&refusal, id),
+        Err(refusal) => refuse(&router, &refusal),
     }
 }
 
 async fn start_chat(
     router: &Arc<Router>,
     request: Request,
-) -> Result<(RequestId, bool, mpsc::Receiver<Output>), Refused> {
+) -> Result<(RequestId, bool, mpsc::Receiver<Output>), Refusal> {
     let (parts, body) = request.into_parts();
     let workspace = authorize(router, &parts.headers)?;
     let body = read_body(router, body).await?;
     let chat = ChatRequest::from_slice(&body)
-        .map_err(|text| (Refusal::not_run(Code::InvalidRequest, text), None))?;
+        .map_err(|text| Refusal::not_run(Code::InvalidRequest, text))?;
     let service = find_service(router, &workspace, &chat.model, ServiceKind::Model)?;
     check_adapter(&service, &chat)?;
     let cap = cap_tokens(&workspace, &service, &chat);
@@ -104,7 +110,7 @@
     asked.min(most)
 }
 
-fn check_adapter(service: &Service, chat: &ChatRequest) -> Result<(), Refused> {
+fn check_adapter(service: &Service, chat: &ChatRequest) -> Result<(), Refusal> {
     let Some(adapter) = &chat.adapter else {
         return Ok(());
     };
@@ -112,13 +118,13 @@
         return Ok(());
     }
     let text = format!("model {} has no adapter {adapter}", service.id);
-    Err((Refusal::not_run(Code::NotFound, text), None))
+    Err(Refusal::not_run(Code::NotFound, text))
 }
 
 async fn models(State(router): State<Arc<Router>>, headers: HeaderMap) -> Response<Body> {
     let workspace = match authorize(&router, &headers) {
         Ok(workspace) => workspace,
-        Err((refusal, id)) => return refusal_response(&refusal, id),
+        Err(refusal) => return refuse(&router, &refusal),
     };
     let fleet = router.fleet();
     let mut data = Vec::new();
@@ -134,6 +140,7 @@
     json_response(
         StatusCode::OK,
         json!({"object": "list", "data": data}).to_string(),
+        router.unused_request(),
     )
 }
 
@@ -156,7 +163,7 @@
 ) -> Response<Body> {
     match start_plain(&router, &service, &path, request).await {
         Ok((id, outputs)) => whole_plain(id, outputs).await,
-        Err((refusal, id)) => refusal_response(&refusal, id),
+        Err(refusal) => refuse(&router, &refusal),
     }
 }
 
@@ -165,7 +172,7 @@
     service: &str,
     path: &str,
     request: Request,
-) -> Result<(RequestId, mpsc::Receiver<Output>), Refused> {
+) -> Result<(RequestId, mpsc::Receiver<Output>), Refusal> {
     let (parts, body) = request.into_parts();
     let workspace = authorize(router, &parts.headers)?;
     let service = find_service(router, &workspace, service, ServiceKind::Plain)?;
@@ -199,8 +206,8 @@
     outputs
 }
 
-fn authorize(router: &Router, headers: &HeaderMap) -> Result<Arc<Workspace>, Refused> {
-    let refuse = |text: &str| (Refusal::not_run(Code::Unauthorized, text), None);
+fn authorize(router: &Router, headers: &HeaderMap) -> Result<Arc<Workspace>, Refusal> {
+    let refuse = |text: &str| Refusal::not_run(Code::Unauthorized, text);
     let Some(value) = headers.get(header::AUTHORIZATION) else {
         return Err(refuse(
             "header Authorization is missing; send Bearer and the key",
@@ -219,7 +226,7 @@
     }
 }
 
-async fn read_body(router: &Router, body: Body) -> Result<Bytes, Refused> {
+async fn read_body(router: &Router, body: Body) -> Result<Bytes, Refusal> {
     let max_bytes = router.fleet().rules.max_body_bytes;
     let limited = Limited::new(body, usize::try_from(max_bytes).unwrap_or(usize::MAX));
     let body_ms = router.settings.tuning.body_timeout_ms;
@@ -227,15 +234,15 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             let text = format!("the body is larger than {max_bytes} bytes");
-            Err((Refusal::not_run(Code::BodyTooLarge, text), None))
+            Err(Refusal::not_run(Code::BodyTooLarge, text))
         }
         Ok(Err(error)) => {
             let text = format!("the body broke off: {error}");
-            Err((Refusal::not_run(Code::InvalidRequest, text), None))
+            Err(Refusal::not_run(Code::InvalidRequest, text))
         }
         Err(_) => {
             let text = format!("the body did not arrive within {body_ms} ms");
-            Err((Refusal::not_run(Code::InvalidRequest, text), None))
+            Err(Refusal::not_run(Code::InvalidRequest, text))
         }
     }
 }
@@ -245,7 +252,7 @@
     workspace: &Workspace,
     name: &str,
     kind: ServiceKind,
-) -> Result<Arc<Service>, Refused> {
+) -> Result<Arc<Service>, Refusal> {
     let fleet = router.fleet();
     let found = name
         .parse::<ServiceId>()
@@ -255,17 +262,17 @@
         Some(service) if service.kind == kind => service,
         _ => {
             let text = format!("no model or service is called {name:?}");
-            return Err((Refusal::not_run(Code::NotFound, text), None));
+            return Err(Refusal::not_run(Code::NotFound, text));
         }
     };
     if !workspace.services.allows(&service.id) {
         let text = format!("workspace {} may not call {name}", workspace.id);
-        return Err((Refusal::not_run(Code::Forbidden, text), None));
+        return Err(Refusal::not_run(Code::Forbidden, text));
     }
     Ok(Arc::clone(service))
 }
 
-fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refused> {
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refusal> {
     let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
         return Ok(None);
     };
@@ -273,7 +280,7 @@
         Ok(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(Some(Arc::from(key))),
         _ => {
             let text = format!("header Idempotency-Key must be 1 to {MAX_KEY_BYTES} ASCII letters");
-            Err((Refusal::not_run(Code::InvalidRequest, text), None))
+            Err(Refusal::not_run(Code::InvalidRequest, text))
         }
     }
 }
--- a/crates/mallowpath/src/link_io.rs
+++ b/crates/mallowpath/src/link_io.rs
@@ -14,13 +14,14 @@
 use prost::Message;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     sync::mpsc,
     time::{MissedTickBehavior, interval, timeout},
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 const MAX_FRAME_BYTES: usize = 16 << 20;
+const ACCEPT_PAUSE_MS: u64 = 200;
 
 type Wire = Framed<TcpStream, LengthDelimitedCodec>;
 type Sink = SplitSink<Wire, Bytes>;
@@ -62,6 +63,33 @@
     }
 }
 
+/// Accepts connections for the life of the process and has each watched until it ends.
+pub(crate) async fn accept_links<F>(
+    listener: TcpListener,
+    endpoint: Endpoint,
+    watch: impl Fn(Arc<Link>) -> F + Clone + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        let (stream, remote) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("accepting a connection failed: {error}");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        let (endpoint, watch) = (endpoint.clone(), watch.clone());
+        tokio::spawn(async move {
+            match Link::accept(stream, remote, &endpoint).await {
+                Ok(link) => watch(link).await,
+                Err(error) => log::debug!("{error}"),
+            }
+        });
+    }
+}
+
 pub(crate) async fn write_frames(
     link: Arc<Link>,
     mut queue: mpsc::Receiver<Frame>,
--- a/crates/mallowpath/src/refusal.rs
+++ b/crates/mallowpath/src/refusal.rs
@@ -134,7 +134,7 @@
     /// # Panics
     ///
     /// Does not panic: text and numbers can always be written.
-    pub fn to_json(&self, request: Option<&str>) -> String {
+    pub fn to_json(&self, request: &str) -> String {
         let body = Body {
             error: Details {
                 message: &self.message,
@@ -160,8 +160,7 @@
     outcome: Outcome,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    request_id: Option<&'a str>,
+    request_id: &'a str,
 }
 
 impl Display for Refusal {
--- a/crates/mallowpath/src/router.rs
+++ b/crates/mallowpath/src/router.rs
@@ -19,6 +19,7 @@
     job::Job,
     key_task::Keys,
     link::{Endpoint, Link},
+    link_io::accept_links,
     log_client::{LogClient, LogClientSettings},
     members::Join,
     members_task::MembersTask,
@@ -170,7 +171,12 @@
         let header_timeout_ms = self.settings.tuning.header_timeout_ms;
         let closing = self.closing.clone();
         tokio::spawn(serve_callers(callers, app, header_timeout_ms, closing));
-        tokio::spawn(Arc::clone(self).accept(peers));
+        let router = Arc::clone(self);
+        let watch = move |link| {
+            let router = Arc::clone(&router);
+            async move { router.watch_peer(link).await }
+        };
+        tokio::spawn(accept_links(peers, self.dialer.endpoint().clone(), watch));
         tokio::spawn(Arc::clone(self).follow_hosts());
         tokio::spawn(config_task::follow(Arc::clone(self)));
         tokio::spawn(crate::slice_exchange::refill(Arc::clone(self)));
@@ -256,6 +262,13 @@
         self.bills.open()
     }
 
+    /// Makes the identifier of a request that runs nowhere and costs nothing.
+    pub(crate) fn unused_request(&self) -> RequestId {
+        let id = self.bills.open();
+        self.bills.abandon(id);
+        id
+    }
+
     pub(crate) fn choose(
         &self,
         job: &Job,
@@ -353,27 +366,6 @@
         }
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let (stream, remote) = match listener.accept().await {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    log::warn!("accepting a connection failed: {error}");
-                    tokio::time::sleep(Duration::from_millis(LAST_BYTES_MS)).await;
-                    continue;
-                }
-            };
-            let endpoint = self.dialer.endpoint().clone();
-            let router = Arc::clone(&self);
-            tokio::spawn(async move {
-                match Link::accept(stream, remote, &endpoint).await {
-                    Ok(link) => router.watch_peer(link).await,
-                    Err(error) => log::debug!("{error}"),
-                }
-            });
-        }
-    }
-
     /// Brings a peer's bills to the log when its connection ends and none takes its place.
     async fn watch_peer(&self, link: Arc<Link>) {
         let peer = link.peer_incarnation();
--- a/crates/mallowpath/src/sidecar.rs
+++ b/crates/mallowpath/src/sidecar.rs
@@ -12,6 +12,7 @@
     host_client::{HostClient, HostClientSettings},
     id::{Incarnation, RequestId, Version},
     link::{Endpoint, Link, now_ms},
+    link_io::accept_links,
     load_poll::poll_load,
     log_client::{LogClient, LogClientSettings},
     members::Join,
@@ -38,7 +39,7 @@
     },
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::Notify};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 const TICK_MS: u64 = 200;
@@ -152,7 +153,12 @@
         serve_admin(admin, sidecar.hooks());
         let endpoint = sidecar.endpoint(address, admin_address);
         tokio::spawn(Arc::clone(&sidecar).follow_hosts());
-        tokio::spawn(Arc::clone(&sidecar).accept(listener, endpoint));
+        let watched = Arc::clone(&sidecar);
+        let watch = move |link| {
+            let sidecar = Arc::clone(&watched);
+            async move { sidecar.watch_router(link).await }
+        };
+        tokio::spawn(accept_links(listener, endpoint, watch));
         tokio::spawn(Arc::clone(&sidecar).join(address));
         tokio::spawn(Arc::clone(&sidecar).tick());
         tokio::spawn(poll_load(Arc::clone(&sidecar)));
@@ -426,27 +432,6 @@
         }
     }
 
-    async fn accept(self: Arc<Self>, listener: TcpListener, endpoint: Endpoint) {
-        loop {
-            let (stream, remote) = match listener.accept().await {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    log::warn!("accepting a connection failed: {error}");
-                    tokio::time::sleep(Duration::from_millis(TICK_MS)).await;
-                    continue;
-                }
-            };
-            let sidecar = Arc::clone(&self);
-            let endpoint = endpoint.clone();
-            tokio::spawn(async move {
-                match Link::accept(stream, remote, &endpoint).await {
-                    Ok(link) => sidecar.watch_router(link).await,
-                    Err(error) => log::debug!("{error}"),
-                }
-            });
-        }
-    }
-
     /// Cancels runs that no router waits for and forgets old answers.
     async fn tick(self: Arc<Self>) {
         loop {
