Refuse at once what would wait too long behind others

The gateway decided nothing on load; the product's own router does.

A router refuses a request that would wait behind others for more than 0.6 of its objective, by two estimates that have to agree, before it draws tokens for it and after it has looked whether its budget is spent. The caller is told when to come back, spread over what it waits for; one that came back is taken while it can be served.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -219,6 +219,10 @@
             "the router held too few tokens of the budget and could not draw more in time; see the \
              age of the ledger and the store's outages before it"
         }
+        "overloaded" => {
+            "the backend servers had more to do than they could begin in time; the router takes new \
+             requests again when its requests wait less"
+        }
         "no_backend" => "no backend server could be reached",
         "rejected" => "the backend servers had no place for it",
         "answer_lost" => "a backend server broke off or answered wrongly after it was sent",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,8 +50,8 @@
     Shortage, plan,
 };
 pub use placement::{
-    Backend, BackendEntry, Candidate, ChoiceSettings, Demand, Fleet, InFlight, PrefixMap,
-    RetryAllowance, RetryAllowanceSettings, choose,
+    Backend, BackendEntry, Candidate, ChoiceSettings, Demand, Fleet, InFlight, Overload, PrefixMap,
+    RequestTimes, RetryAllowance, RetryAllowanceSettings, WaitSettings, Waits, choose,
 };
 pub use process::{
     AppendCall, AppendMark, Appended, Decoders, Gateway, GatewaySettings, ListenSettings, LogLines,
--- a/crates/gateway/src/placement/backend.rs
+++ b/crates/gateway/src/placement/backend.rs
@@ -1,5 +1,6 @@
 //! A backend server and what this router has under way there.
 
+use super::service_waits::ServiceWaits;
 use crate::connection::Pool;
 use mallowpath::{BackendId, ServiceId, Zone};
 use std::{
@@ -8,6 +9,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Instant,
 };
 
 /// What a backend server says of itself where it registers.
@@ -39,6 +41,8 @@
     pub entry: BackendEntry,
     /// Connections to it that are not in use.
     pub(crate) pool: Pool,
+    /// How long requests of its service wait.
+    waits: Arc<ServiceWaits>,
     draining: AtomicBool,
     in_flight: AtomicU64,
     prefill_tokens: AtomicU64,
@@ -49,15 +53,19 @@
 pub struct InFlight {
     backend: Arc<Backend>,
     prefill_tokens: u64,
+    sent_at: Instant,
+    /// Whether the answer has begun.
+    begun: bool,
 }
 
 impl Backend {
     /// Makes a backend server without requests.
-    pub fn new(entry: BackendEntry) -> Arc<Self> {
+    pub(crate) fn new(entry: BackendEntry, waits: Arc<ServiceWaits>) -> Arc<Self> {
         Arc::new(Self {
             draining: AtomicBool::new(entry.draining),
             entry,
             pool: Pool::default(),
+            waits,
             in_flight: AtomicU64::new(0),
             prefill_tokens: AtomicU64::new(0),
         })
@@ -88,9 +96,12 @@
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.prefill_tokens
             .fetch_add(prefill_tokens, Ordering::Relaxed);
+        self.waits.sent();
         InFlight {
             backend: Arc::clone(self),
             prefill_tokens,
+            sent_at: Instant::now(),
+            begun: false,
         }
     }
 }
@@ -101,8 +112,16 @@
         &self.backend
     }
 
-    /// Counts the prompt as read.
-    pub fn prompt_read(&mut self) {
+    /// Counts the beginning of the answer; the prompt has been read.
+    pub fn answer_begun(&mut self) {
+        if !self.begun {
+            self.begun = true;
+            self.backend.waits.begun(self.sent_at.elapsed());
+        }
+        self.uncount_prompt();
+    }
+
+    fn uncount_prompt(&mut self) {
         let tokens = std::mem::take(&mut self.prefill_tokens);
         self.backend
             .prefill_tokens
@@ -112,7 +131,10 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.prompt_read();
+        if !self.begun {
+            self.backend.waits.ended();
+        }
+        self.uncount_prompt();
         self.backend.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/placement/fleet.rs
+++ b/crates/gateway/src/placement/fleet.rs
@@ -4,6 +4,8 @@
     backend::{Backend, BackendEntry},
     choice::{Candidate, ChoiceSettings, choose},
     prefix_map::PrefixMap,
+    service_waits::ServiceWaits,
+    waits::{Overload, RequestTimes},
 };
 use crate::request::PromptPart;
 use mallowpath::{
@@ -55,6 +57,7 @@
 struct Group {
     members: Vec<Arc<Backend>>,
     outliers: Outliers,
+    waits: Arc<ServiceWaits>,
 }
 
 impl Fleet {
@@ -82,7 +85,7 @@
             }
         }
         state.remove(&entry.id);
-        state.add(Backend::new(entry));
+        state.add(entry);
     }
 
     /// Removes a backend server; requests under way there go on.
@@ -177,6 +180,20 @@
         Some((chosen, uncached))
     }
 
+    /// Decides whether a request of the service is worth taking.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it would wait too long behind others.
+    pub fn admit(&self, service: &ServiceId, times: RequestTimes) -> Result<(), Overload> {
+        let waits = {
+            let state = self.lock();
+            let group = state.services.get(service);
+            group.map(|group| Arc::clone(&group.waits))
+        };
+        waits.map_or(Ok(()), |waits| waits.admit(times))
+    }
+
     /// Tells whether a backend server of the service takes work and is not in `tried`.
     pub fn has_choice(&self, service: &ServiceId, tried: &[BackendId]) -> bool {
         let state = self.lock();
@@ -216,15 +233,17 @@
 }
 
 impl State {
-    fn add(&mut self, backend: Arc<Backend>) {
-        let id = backend.entry.id.clone();
+    fn add(&mut self, entry: BackendEntry) {
+        let id = entry.id.clone();
         let group = self
             .services
-            .entry(backend.entry.service.clone())
+            .entry(entry.service.clone())
             .or_insert_with(|| Group {
                 members: Vec::new(),
                 outliers: Outliers::new(eject_settings()),
+                waits: Arc::new(ServiceWaits::new()),
             });
+        let backend = Backend::new(entry, Arc::clone(&group.waits));
         group.outliers.insert(&id);
         // Routers that know the same backend servers have to choose among them alike.
         let at = group
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -8,14 +8,16 @@
 };
 use crate::{
     budget::Reservation,
+    placement::RequestTimes,
     process::Gateway,
     version::{Catalogue, Route, Workspace},
 };
 use bytes::Bytes;
 use http::{StatusCode, request};
 use hyper::body::Incoming;
-use mallowpath::BodyError;
+use mallowpath::{BodyError, ServiceId};
 use std::{
+    ops::Range,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -32,6 +34,10 @@
 /// When a caller comes back to a router that knows no configuration yet.
 const START_RETRY_MS: u64 = 500;
 
+/// The parts of the time left to a caller between which it is told to come back after overload; it
+/// waits for a third at most. As late as it can, and spread, as nobody knows how long a burst lasts.
+const OVERLOAD_RETRY_SHARES: Range<f64> = 0.16..0.32;
+
 /// How long before the deadline of a request the gateway answers itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
 
@@ -82,6 +88,61 @@
     started + wait.saturating_sub(DEADLINE_MARGIN)
 }
 
+/// Returns the times that decide whether a request is worth taking.
+pub(super) fn request_times(
+    route: &Route,
+    facts: &CallerRequest,
+    deadline: Instant,
+) -> RequestTimes {
+    let wait_ms = facts.deadline_ms.unwrap_or(route.timeout_ms);
+    RequestTimes {
+        objective_ms: route.objective_ms,
+        elapsed_ms: route.timeout_ms.saturating_sub(wait_ms),
+        left_ms: millis(deadline.saturating_duration_since(Instant::now())),
+    }
+}
+
+/// Refuses a request that its budget can't cover any more.
+pub(super) fn admit_budget(
+    gateway: &Gateway,
+    workspace: Option<&Workspace>,
+    tokens: Option<TokenCount>,
+) -> Result<(), Refused> {
+    let (Some(workspace), Some(tokens)) = (workspace, tokens) else {
+        return Ok(());
+    };
+    let Some(prepaid) = workspace.prepaid else {
+        return Ok(());
+    };
+    if gateway.is_spent(&workspace.id, prepaid, tokens.max()) {
+        return Err(Refused::new(
+            StatusCode::PAYMENT_REQUIRED,
+            Reason::BudgetSpent,
+        ));
+    }
+    Ok(())
+}
+
+/// Refuses a request that would wait too long behind others.
+pub(super) fn admit_load(
+    gateway: &Gateway,
+    service: &ServiceId,
+    times: RequestTimes,
+    log: &mut RequestLog,
+) -> Result<(), Refused> {
+    let Err(overload) = gateway.fleet.admit(service, times) else {
+        return Ok(());
+    };
+    log.set_detail(&format!("a wait of {} ms expected", overload.expected_ms));
+    let share = rand::random_range(OVERLOAD_RETRY_SHARES);
+    let retry = Duration::from_millis(times.left_ms).mul_f64(share);
+    Err(Refused::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        Reason::Overloaded,
+        millis(retry),
+    ))
+}
+
 /// Reads a whole body of at most `max_bytes`.
 pub(super) async fn read_body(
     body: Incoming,
@@ -140,12 +201,8 @@
                 shortage.held
             }
         };
-        if gateway.is_spent(&workspace.id, prepaid, tokens.max()) {
-            return Err(Refused::new(
-                StatusCode::PAYMENT_REQUIRED,
-                Reason::BudgetSpent,
-            ));
-        }
+        // Others may have spent the rest while it waited.
+        admit_budget(gateway, Some(workspace), Some(tokens))?;
         let left = gateway.draws.ledger().left(&workspace.id, prepaid);
         if left.is_some_and(|left| held.saturating_add(left) < tokens.max()) {
             return Err(Refused::short(BUDGET_RETRY_MS));
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -185,8 +185,9 @@
         facts,
         mut body,
         upstream,
-        flight,
+        mut flight,
     } = started;
+    flight.answer_begun();
     let mut bytes = BytesMut::new();
     let read = async {
         while let Some(frame) = body.frame().await {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -1,7 +1,7 @@
 //! Takes a caller's request in and passes it on to a backend server.
 
 use super::{
-    admit::{admit, deadline, read_body, reserve},
+    admit::{admit, admit_budget, admit_load, deadline, read_body, request_times, reserve},
     answer::AnswerBody,
     attempt::Outgoing,
     facts::{CallerRequest, TokenCount},
@@ -49,10 +49,14 @@
     }
     let deadline = deadline(started, &route, &facts);
     let body = read_body(body, admitted.body_max_bytes, deadline).await?;
-    let reservation = reserve(&gateway, workspace.as_deref(), facts.tokens, log).await?;
     let Some(service) = route.target(rand::random()).cloned() else {
         return Err(Refused::busy(Reason::NoBackend));
     };
+    // A refusal that is final goes before one that has the caller come back.
+    admit_budget(&gateway, workspace.as_deref(), facts.tokens)?;
+    let times = request_times(&route, &facts, deadline);
+    admit_load(&gateway, &service, times, log)?;
+    let reservation = reserve(&gateway, workspace.as_deref(), facts.tokens, log).await?;
     gateway.count_request(&service);
     let outgoing = outgoing(head, body, &facts, workspace.as_deref(), deadline);
     let tries = Tries::new(gateway, route, service, facts, outgoing);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod tries;
 
 pub(crate) use answer::AnswerBody;
+pub(crate) use attempt::millis;
 pub use events::{EventError, EventSplitter};
 pub use facts::{
     AnswerKind, BackendAnswer, BackendMarks, CallerRequest, HeadCodec, PromptPart, TokenCount,
--- a/crates/gateway/src/request/outcome.rs
+++ b/crates/gateway/src/request/outcome.rs
@@ -24,6 +24,8 @@
     BudgetSpent,
     /// The budget is not spent, but this router holds too little of it now.
     BudgetShort,
+    /// The request would wait for too long behind others.
+    Overloaded,
     /// No backend server can take the request.
     NoBackend,
     /// A backend server rejected the request without running it.
@@ -198,6 +200,7 @@
         Reason::AnswerLost => "answer_lost",
         Reason::Timeout => "timeout",
         Reason::StreamBroken => "stream_broken",
+        Reason::Overloaded => "overloaded",
         Reason::CallerLeft => "caller_left",
     }
 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -184,7 +184,7 @@
         }
         self.settle();
         if let Source::Open(open) = &mut self.source {
-            open.flight.prompt_read();
+            open.flight.answer_begun();
         }
         if let Some(log) = &mut self.log {
             log.set_first();
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -6,7 +6,11 @@
     backend::{Act, Server, answer, header, success},
     fleet::{KEY, TestGateway, read_answer},
 };
-use tokio::io::AsyncWriteExt;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{io::AsyncWriteExt, time::sleep};
 
 #[tokio::test]
 async fn a_request_passes_with_the_marks_of_the_gateway_only() {
@@ -173,3 +177,37 @@
     stream.write_all(&body).await.unwrap();
     assert_eq!(read_answer(stream).await.status, 413);
 }
+
+#[tokio::test]
+async fn what_would_wait_too_long_is_refused_at_once_and_has_not_run() {
+    // The route's objective is 200 ms.
+    let server = Server::start(vec![Act::Wait(300), success("late")]).await;
+    let test = Arc::new(TestGateway::start(&[server.address]).await);
+    let mut calls = Vec::new();
+    for _ in 0..60 {
+        let test = Arc::clone(&test);
+        calls.push(tokio::spawn(async move {
+            let started = Instant::now();
+            let got = test.call("/once/", "").await;
+            (got, started.elapsed())
+        }));
+        sleep(Duration::from_millis(15)).await;
+    }
+    let mut delivered = 0;
+    let mut refused = 0;
+    for call in calls {
+        let (got, took) = call.await.unwrap();
+        if got.status == 200 {
+            delivered += 1;
+            continue;
+        }
+        assert_eq!(got.status, 503);
+        assert!(got.head.contains("retry-after: "), "{}", got.head);
+        assert!(took < Duration::from_millis(200), "{took:?}");
+        refused += 1;
+    }
+    assert!(refused > 0);
+    assert_eq!(server.count(), delivered);
+    // Once the queue is gone, requests are taken again.
+    assert_eq!(test.call("/once/", "").await.status, 200);
+}
