Draw for all requests that wait, and keep what comes for them

A draw covered the largest request that waited and no other, the holding follows the measured demand, which rises with a half-life of 3 s, and each draw was taken by whoever came first, mostly small requests.

Requests that wait are counted as a sum, a draw covers it, and later requests leave it to them.

Test: budgets::all_requests_that_wait_are_drawn_for_and_go_before_later_ones failed when only the largest request counted.

--- a/crates/gateway/src/budget/local_budgets.rs
+++ b/crates/gateway/src/budget/local_budgets.rs
@@ -28,7 +28,10 @@
     granted: u64,
     spent: u64,
     reserved: u64,
-    wanted: u64,
+    /// The largest request refused since the last draw.
+    refused: u64,
+    /// What requests wait for.
+    waiting: u64,
     /// Tokens asked for, each halved every [`DEMAND_HALF_LIFE_S`].
     demand: f64,
     demand_at: Instant,
@@ -45,6 +48,14 @@
     spent: u64,
 }
 
+/// A request that waits for tokens; what comes is kept for it before requests that come later.
+#[derive(Debug)]
+pub struct Waiting {
+    local_budgets: Arc<LocalBudgets>,
+    workspace: WorkspaceId,
+    tokens: u64,
+}
+
 /// The local budget does not hold enough tokens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shortage {
@@ -72,7 +83,7 @@
         budget.demand += tokens as f64;
     }
 
-    /// Sets tokens aside.
+    /// Sets tokens aside for a request that comes; those that wait go first.
     ///
     /// # Errors
     ///
@@ -82,6 +93,33 @@
         workspace: &WorkspaceId,
         tokens: u64,
         now: Instant,
+    ) -> Result<Reservation, Shortage> {
+        self.try_reserve(workspace, tokens, false, now)
+    }
+
+    /// Lets a request wait for tokens; the draw task is told.
+    pub fn wait(self: &Arc<Self>, workspace: &WorkspaceId, tokens: u64) -> Waiting {
+        let mut budgets = self.lock();
+        let budget = budgets
+            .entry(workspace.clone())
+            .or_insert_with(|| LocalBudget::new(Instant::now()));
+        budget.waiting += tokens;
+        drop(budgets);
+        self.low.notify_one();
+        Waiting {
+            local_budgets: Arc::clone(self),
+            workspace: workspace.clone(),
+            tokens,
+        }
+    }
+
+    /// Sets tokens aside; a request that does not wait leaves what others wait for.
+    fn try_reserve(
+        self: &Arc<Self>,
+        workspace: &WorkspaceId,
+        tokens: u64,
+        is_waiting: bool,
+        now: Instant,
     ) -> Result<Reservation, Shortage> {
         let mut budgets = self.lock();
         let budget = budgets
@@ -89,8 +127,9 @@
             .or_insert_with(|| LocalBudget::new(now));
         budget.decay(now);
         let held = budget.held();
-        if held < tokens {
-            budget.wanted = budget.wanted.max(tokens);
+        let kept = if is_waiting { 0 } else { budget.waiting };
+        if held < tokens.saturating_add(kept) {
+            budget.refused = budget.refused.max(tokens);
             drop(budgets);
             self.low.notify_one();
             return Err(Shortage { held });
@@ -121,7 +160,8 @@
 
     /// Tells whether a request was refused or waits for want of tokens since the last draw.
     pub(crate) fn is_waited_for(&self) -> bool {
-        self.lock().values().any(|budget| budget.wanted > 0)
+        let budgets = self.lock();
+        budgets.values().any(|budget| budget.wanted() > 0)
     }
 
     /// Returns what this process has spent of a budget.
@@ -153,7 +193,7 @@
             spent: budget.spent,
             reserved: budget.reserved,
             tokens_per_s: budget.tokens_per_s(),
-            wanted: budget.wanted,
+            wanted: budget.wanted(),
         }
     }
 
@@ -183,7 +223,7 @@
                 .entry(workspace.clone())
                 .or_insert_with(|| LocalBudget::new(Instant::now()));
             budget.granted = budget.granted.max(line.granted);
-            budget.wanted = 0;
+            budget.refused = 0;
         }
         drop(budgets);
         self.wake();
@@ -226,13 +266,19 @@
             granted: 0,
             spent: 0,
             reserved: 0,
-            wanted: 0,
+            refused: 0,
+            waiting: 0,
             demand: 0.0,
             demand_at: now,
             low_s: 0.0,
         }
     }
 
+    /// Returns the tokens that requests were refused or wait for.
+    fn wanted(&self) -> u64 {
+        self.refused.max(self.waiting)
+    }
+
     fn held(&self) -> u64 {
         self.granted.saturating_sub(self.spent + self.reserved)
     }
@@ -266,6 +312,28 @@
     }
 }
 
+impl Waiting {
+    /// Sets the tokens aside.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the local budget holds too few; the draw task is told.
+    pub fn reserve(&self, now: Instant) -> Result<Reservation, Shortage> {
+        // What is drawn covers all that wait, so they need not go in order.
+        self.local_budgets
+            .try_reserve(&self.workspace, self.tokens, true, now)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut budgets = self.local_budgets.lock();
+        if let Some(budget) = budgets.get_mut(&self.workspace) {
+            budget.waiting -= self.tokens;
+        }
+    }
+}
+
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.local_budgets
--- a/crates/gateway/src/budget/mod.rs
+++ b/crates/gateway/src/budget/mod.rs
@@ -10,5 +10,5 @@
 pub(crate) use draw_task::{return_all, run_draws};
 pub use ledger::{Account, Ledger, Line};
 pub use ledger_view::LedgerView;
-pub use local_budgets::{LocalBudgets, Reservation, Shortage};
+pub use local_budgets::{LocalBudgets, Reservation, Shortage, Waiting};
 pub use plan::{Holding, PlanSettings, plan};
--- a/crates/gateway/src/budget/plan.rs
+++ b/crates/gateway/src/budget/plan.rs
@@ -18,7 +18,7 @@
     pub reserved: u64,
     /// What the router's callers ask for, in tokens a second.
     pub tokens_per_s: f64,
-    /// The largest request refused or delayed for want of tokens since the last draw.
+    /// What requests wait for, or the largest one refused since the last draw.
     pub wanted: u64,
 }
 
@@ -76,25 +76,27 @@
     let in_use = holding.spent.saturating_add(holding.reserved);
     let held = holding.granted.saturating_sub(in_use);
     let target = target(holding, left, routers, settings);
-    if (held as f64) < target as f64 * settings.refill_below || held < holding.wanted {
-        let missing = target.max(holding.wanted).saturating_sub(held);
+    let low = scaled(target, settings.refill_below).max(holding.wanted);
+    let full = target.max(holding.wanted);
+    if held < low {
+        let missing = full.saturating_sub(held);
         // Routers that draw at the same moment fit together if each takes no more than its part.
         let share = scaled(left, 1.0 / routers.max(2.0)).max(holding.wanted);
         return holding.granted + missing.min(share).min(left);
     }
-    let excess = held.saturating_sub(target);
+    let excess = held.saturating_sub(full);
     let is_worth_it = excess > scaled(holding.prepaid, settings.return_min_share);
-    if held as f64 > target as f64 * settings.return_above && is_worth_it {
-        return in_use.saturating_add(target);
+    if held as f64 > full as f64 * settings.return_above && is_worth_it {
+        return in_use.saturating_add(full);
     }
     holding.granted
 }
 
-/// Returns the tokens that the router wants to hold unspent.
+/// Returns the tokens that the router wants to hold unspent while nothing waits.
 fn target(holding: &Holding, left: u64, routers: f64, settings: &PlanSettings) -> u64 {
     let by_rate = scaled(1, holding.tokens_per_s * settings.horizon_s);
     let floor = scaled(left, settings.floor_share / routers);
-    by_rate.max(floor).max(holding.wanted)
+    by_rate.max(floor)
 }
 
 #[expect(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,7 @@
 
 pub use budget::{
     Account, DrawTask, Holding, Ledger, LedgerView, Line, LocalBudgets, PlanSettings, Reservation,
-    Shortage, plan,
+    Shortage, Waiting, plan,
 };
 pub use placement::{
     Backend, BackendEntry, Candidate, ChoiceSettings, Demand, Fleet, InFlight, Overload, PrefixMap,
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -7,7 +7,7 @@
     refused::Refused,
 };
 use crate::{
-    budget::Reservation,
+    budget::{Reservation, Waiting},
     placement::RequestTimes,
     process::Gateway,
     version::{Catalogue, Route, Workspace},
@@ -185,16 +185,20 @@
     gateway
         .local_budgets
         .count_demand(&workspace.id, tokens.max(), started);
+    let mut waiting: Option<Waiting> = None;
     loop {
         let refilled = gateway.local_budgets.refilled();
         tokio::pin!(refilled);
         // Tokens that come between the failed try and the wait count as well.
         refilled.as_mut().enable();
         let now = Instant::now();
-        let held = match gateway
-            .local_budgets
-            .reserve(&workspace.id, tokens.max(), now)
-        {
+        let reserved = match &waiting {
+            Some(waiting) => waiting.reserve(now),
+            None => gateway
+                .local_budgets
+                .reserve(&workspace.id, tokens.max(), now),
+        };
+        let held = match reserved {
             Ok(reservation) => return Ok(Some(reservation)),
             Err(shortage) => {
                 log.set_detail(&format!("{} tokens held", shortage.held));
@@ -214,6 +218,7 @@
             }
             Some(_) => {}
         }
+        waiting.get_or_insert_with(|| gateway.local_budgets.wait(&workspace.id, tokens.max()));
         let waited = tokio::time::timeout_at(until.into(), refilled).await;
         if waited.is_err() {
             return Err(Refused::short(BUDGET_RETRY_MS));
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -284,6 +284,31 @@
     assert!(spent >= PREPAID * 97 / 100, "{spent} of {PREPAID} spent");
 }
 
+#[tokio::test]
+async fn all_requests_that_wait_are_drawn_for_and_go_before_later_ones() {
+    let store = FakeStore::default();
+    let spender = Spender::start(&store, "r").await;
+    let workspace = WORKSPACE.parse().unwrap();
+    let mut waiting = Vec::new();
+    for _ in 0..5 {
+        assert!(!spender.try_reserve(900));
+        waiting.push(spender.local_budgets.wait(&workspace, 900));
+    }
+    spender.task.step(&catalogue()).await;
+    let holding = spender
+        .local_budgets
+        .holding(&workspace, PREPAID, 0.0, Instant::now());
+    assert!(holding.granted >= 5 * 900, "{holding:?}");
+    // What is left beside those that wait is less than a later one asks for.
+    assert!(!spender.try_reserve(holding.granted - 5 * 900 + 1));
+    let mut reserved = Vec::new();
+    for one in &waiting {
+        reserved.push(one.reserve(Instant::now()).unwrap());
+    }
+    drop(waiting);
+    assert!(spender.try_reserve(holding.granted - 5 * 900));
+}
+
 #[tokio::test]
 async fn tokens_that_another_router_gave_back_are_found() {
     let store = FakeStore::default();
