Give tokens that are kept for others to a request that would be refused

In an outage of the store a small request was refused, 0.4 s later, though the router held its tokens, because a large one waited in vain.

Before a request is refused for want of tokens it may take what is kept for others.

Test: budgets::what_is_held_serves_a_small_request_while_a_large_one_waits_in_vain failed (429 for both) on the commit before.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -205,23 +205,44 @@
                 shortage.held
             }
         };
-        // Others may have spent the rest while it waited.
-        admit_budget(gateway, Some(workspace), Some(tokens))?;
-        let left = gateway.draws.ledger().left(&workspace.id, prepaid);
-        if left.is_some_and(|left| held.saturating_add(left) < tokens.max()) {
-            return Err(Refused::short(BUDGET_RETRY_MS));
-        }
-        match gateway.draws.expected_wait() {
-            None => return Err(Refused::short(OUTAGE_RETRY_MS)),
-            Some(wait) if wait > DRAW_WAIT => {
-                return Err(Refused::short(BUDGET_RETRY_MS + millis(wait)));
+        let waiting = waiting.get_or_insert_with(|| {
+            let local_budgets = &gateway.local_budgets;
+            local_budgets.wait(&workspace.id, tokens.max())
+        });
+        let refused = match may_wait(gateway, workspace, prepaid, tokens, held) {
+            Ok(()) => {
+                let waited = tokio::time::timeout_at(until.into(), refilled).await;
+                waited.is_err().then(|| Refused::short(BUDGET_RETRY_MS))
             }
-            Some(_) => {}
-        }
-        waiting.get_or_insert_with(|| gateway.local_budgets.wait(&workspace.id, tokens.max()));
-        let waited = tokio::time::timeout_at(until.into(), refilled).await;
-        if waited.is_err() {
-            return Err(Refused::short(BUDGET_RETRY_MS));
-        }
+            Err(refused) => Some(refused),
+        };
+        let Some(refused) = refused else {
+            continue;
+        };
+        // Tokens may be here that are kept for others who wait; none come in time for all.
+        return match waiting.reserve(Instant::now()) {
+            Ok(reservation) => Ok(Some(reservation)),
+            Err(_) => Err(refused),
+        };
+    }
+}
+
+/// Refuses a request for whose tokens it is no use to wait.
+fn may_wait(
+    gateway: &Gateway,
+    workspace: &Workspace,
+    prepaid: u64,
+    tokens: TokenCount,
+    held: u64,
+) -> Result<(), Refused> {
+    admit_budget(gateway, Some(workspace), Some(tokens))?;
+    let left = gateway.draws.ledger().left(&workspace.id, prepaid);
+    if left.is_some_and(|left| held.saturating_add(left) < tokens.max()) {
+        return Err(Refused::short(BUDGET_RETRY_MS));
+    }
+    match gateway.draws.expected_wait() {
+        None => Err(Refused::short(OUTAGE_RETRY_MS)),
+        Some(wait) if wait > DRAW_WAIT => Err(Refused::short(BUDGET_RETRY_MS + millis(wait))),
+        Some(_) => Ok(()),
     }
 }
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -105,6 +105,22 @@
     assert!(short.head.contains("retry-after"));
 }
 
+#[tokio::test]
+async fn what_is_held_serves_a_small_request_while_a_large_one_waits_in_vain() {
+    let server = Server::start(vec![success("hello")]).await;
+    let test = TestGateway::start(&[server.address]).await;
+    test.wait_until(|_| holding(&test).granted >= PREPAID / 2)
+        .await;
+    test.store.set_down(true);
+    let large = test.call("/once/", "x-tokens: 9000 30\r\n");
+    let small = async {
+        sleep(Duration::from_millis(50)).await;
+        test.call("/once/", TOKENS).await
+    };
+    let (large, small) = tokio::join!(large, small);
+    assert_eq!((large.status, small.status), (429, 200));
+}
+
 #[tokio::test]
 async fn a_router_that_ends_gives_back_what_it_held() {
     let test = TestGateway::start(&[]).await;
