Mend what a reading of the change as a newcomer showed

Code: the conversion of a replay's times stood in two test files and is in tests/common/clock.rs now. The last check of all_requests_that_wait could not fail, as nothing was left to reserve by then; now a request that waits keeps its tokens until it leaves, and both are checked. The field `refused` also counted requests that go on to wait; it is `short`. A request that waits told the draw task a second time; its failure has told it already.

--- a/crates/gateway/src/budget/local_budgets.rs
+++ b/crates/gateway/src/budget/local_budgets.rs
@@ -28,8 +28,8 @@
     granted: u64,
     spent: u64,
     reserved: u64,
-    /// The largest request refused since the last draw.
-    refused: u64,
+    /// The largest request that found too little since the last draw.
+    short: u64,
     /// What requests wait for.
     waiting: u64,
     /// Tokens asked for, each halved every [`DEMAND_HALF_LIFE_S`].
@@ -97,7 +97,7 @@
         self.try_reserve(workspace, tokens, false, now)
     }
 
-    /// Lets a request wait for tokens; the draw task is told.
+    /// Lets a request wait that has found too few tokens; its failure has told the draw task.
     pub fn wait(self: &Arc<Self>, workspace: &WorkspaceId, tokens: u64) -> Waiting {
         let mut budgets = self.lock();
         let budget = budgets
@@ -105,7 +105,6 @@
             .or_insert_with(|| LocalBudget::new(Instant::now()));
         budget.waiting += tokens;
         drop(budgets);
-        self.low.notify_one();
         Waiting {
             local_budgets: Arc::clone(self),
             workspace: workspace.clone(),
@@ -129,7 +128,7 @@
         let held = budget.held();
         let kept = if is_waiting { 0 } else { budget.waiting };
         if held < tokens.saturating_add(kept) {
-            budget.refused = budget.refused.max(tokens);
+            budget.short = budget.short.max(tokens);
             drop(budgets);
             self.low.notify_one();
             return Err(Shortage { held });
@@ -223,7 +222,7 @@
                 .entry(workspace.clone())
                 .or_insert_with(|| LocalBudget::new(Instant::now()));
             budget.granted = budget.granted.max(line.granted);
-            budget.refused = 0;
+            budget.short = 0;
         }
         drop(budgets);
         self.wake();
@@ -266,7 +265,7 @@
             granted: 0,
             spent: 0,
             reserved: 0,
-            refused: 0,
+            short: 0,
             waiting: 0,
             demand: 0.0,
             demand_at: now,
@@ -274,9 +273,9 @@
         }
     }
 
-    /// Returns the tokens that requests were refused or wait for.
+    /// Returns the tokens that should be drawn for requests that came.
     fn wanted(&self) -> u64 {
-        self.refused.max(self.waiting)
+        self.short.max(self.waiting)
     }
 
     fn held(&self) -> u64 {
--- a/crates/gateway/src/budget/plan.rs
+++ b/crates/gateway/src/budget/plan.rs
@@ -18,7 +18,8 @@
     pub reserved: u64,
     /// What the router's callers ask for, in tokens a second.
     pub tokens_per_s: f64,
-    /// What requests wait for, or the largest one refused since the last draw.
+    /// What requests wait for, or the largest one that found too little since the last draw,
+    /// whichever is more; in tokens.
     pub wanted: u64,
 }
 
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,4 +1,4 @@
-//! Which backend server takes a request, and whether it is tried again.
+//! Whether a request is worth taking, which backend server takes it, and whether it is tried again.
 
 mod allowance;
 mod backend;
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -235,6 +235,7 @@
     tokens: TokenCount,
     held: u64,
 ) -> Result<(), Refused> {
+    // Others may have spent the rest since it came.
     admit_budget(gateway, Some(workspace), Some(tokens))?;
     let left = gateway.draws.ledger().left(&workspace.id, prepaid);
     if left.is_some_and(|left| held.saturating_add(left) < tokens.max()) {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -52,7 +52,8 @@
     let Some(service) = route.target(rand::random()).cloned() else {
         return Err(Refused::busy(Reason::NoBackend));
     };
-    // A refusal that is final goes before one that has the caller come back.
+    // A refusal that is final goes before one that has the caller come back, and a request that can't
+    // be paid for raises no measured demand.
     admit_budget(&gateway, workspace.as_deref(), facts.tokens)?;
     let times = request_times(&route, &facts, deadline);
     admit_load(&gateway, &service, times, log)?;
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -317,12 +317,16 @@
     assert!(holding.granted >= 5 * 900, "{holding:?}");
     // What is left beside those that wait is less than a later one asks for.
     assert!(!spender.try_reserve(holding.granted - 5 * 900 + 1));
+    let gone = waiting.pop();
     let mut reserved = Vec::new();
     for one in &waiting {
         reserved.push(one.reserve(Instant::now()).unwrap());
     }
     drop(waiting);
-    assert!(spender.try_reserve(holding.granted - 5 * 900));
+    // One that has not taken its tokens keeps them until it leaves.
+    assert!(!spender.try_reserve(900));
+    drop(gone);
+    assert!(spender.try_reserve(900));
 }
 
 #[tokio::test]
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -4,6 +4,9 @@
 //! in bursts; four routers that see only their own requests; 18 engines that read 51 tokens a
 //! millisecond, one prompt after the other, and keep what they have read.
 
+mod common;
+
+use common::clock::whole_ms;
 use mallowpath::ServiceId;
 use mallowpath_gateway::{BackendEntry, Demand, Fleet, InFlight, PromptPart};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -94,8 +97,9 @@
                     prompt: &prompt,
                     draw: rng.random(),
                 };
-                let (backend, uncached) =
-                    routers[router].choose(&demand, &[], whole(now_ms)).unwrap();
+                let (backend, uncached) = routers[router]
+                    .choose(&demand, &[], whole_ms(now_ms))
+                    .unwrap();
                 let engine = backend.entry.id.as_str()[1..].parse().unwrap();
                 (engine, Some(backend.start(uncached)))
             }
@@ -161,15 +165,6 @@
     }
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "times of a run are small and positive"
-)]
-fn whole(ms: f64) -> u64 {
-    ms as u64
-}
-
 #[test]
 fn shared_prompts_are_read_less_often_and_first_tokens_come_sooner() {
     for seed in 1..=3 {
--- a/crates/gateway/tests/waits.rs
+++ b/crates/gateway/tests/waits.rs
@@ -5,6 +5,9 @@
 //! requests as before and after, more than the engines can read. Callers want their first token
 //! within 600 ms, leave after 2,400 ms without one, and come back once when they are refused.
 
+mod common;
+
+use common::clock::whole_ms;
 use mallowpath_gateway::{Overload, RequestTimes, WaitSettings, Waits};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use std::{cmp::Reverse, collections::BinaryHeap};
@@ -92,10 +95,13 @@
         }
         let begun_ms = start_ms + tokens / READ_TOKENS_PER_MS;
         free_at_ms[engine] = begun_ms;
-        let wait_ms = whole(begun_ms) - now_ms;
+        let wait_ms = whole_ms(begun_ms) - now_ms;
         routers[router].sent();
-        events.push(Reverse((whole(begun_ms), Event::Begun { router, wait_ms })));
-        if whole(begun_ms) - first_ms <= OBJECTIVE_MS {
+        events.push(Reverse((
+            whole_ms(begun_ms),
+            Event::Begun { router, wait_ms },
+        )));
+        if whole_ms(begun_ms) - first_ms <= OBJECTIVE_MS {
             outcome.on_time += 1;
             outcome.on_time_after += u32::from(is_after);
         } else {
@@ -112,7 +118,7 @@
         let burst = BURST_MS.0 as f64 <= at_ms && at_ms < BURST_MS.1 as f64;
         let rate = if burst { BURST } else { 1.0 } * ARRIVALS_PER_MS;
         at_ms += -rng.random_range(1e-9_f64..1.0).ln() / rate;
-        let first_ms = whole(at_ms);
+        let first_ms = whole_ms(at_ms);
         let router = rng.random_range(0..ROUTERS);
         events.push(Reverse((first_ms, Event::Arrival { router, first_ms })));
     }
@@ -131,15 +137,6 @@
     best
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "times of a run are small and positive"
-)]
-fn whole(ms: f64) -> u64 {
-    ms as u64
-}
-
 fn fresh() -> RequestTimes {
     RequestTimes {
         objective_ms: OBJECTIVE_MS,
