Keep requests from backend servers that leave, ask for a pause or are evacuated

Cause: nothing read an engine's Server-Leaving or the Retry-After of its rejections, nor the operators' records that evacuate a zone; the registration alone decided who gets requests. Ruled out: a late read of the record (it reaches every router with the next long poll; nobody looked at its key). Change: Availability holds what a backend server has stated (registration, answers, pause); the registry adds evacuated zones. An announced shutdown stays in force whatever a later registration says; a pause is never shortened, is bounded at ten minutes, and lasts a second if it can't be parsed. When all that is left pauses, callers are refused at once with the shortest pause. A 421 in a resumption ends requests to that address, as elsewhere.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,8 +54,8 @@
     LedgerView, LocalBudgets, Reservation, TokenWaiter, plan_account,
 };
 pub use placement::{
-    Backend, BackendEntry, BackendQuery, BackendRegistry, Candidate, ChoiceSettings, InFlight,
-    Overload, PrefixMap, RequestTimes, RetryLimiter, RetryLimiterSettings, WaitEstimator,
+    Availability, Backend, BackendEntry, BackendQuery, BackendRegistry, Candidate, ChoiceSettings,
+    InFlight, Overload, PrefixMap, RequestTimes, RetryLimiter, RetryLimiterSettings, WaitEstimator,
     WaitEstimatorSettings, choose,
 };
 pub use process::{
--- a/crates/gateway/src/placement/backend.rs
+++ b/crates/gateway/src/placement/backend.rs
@@ -1,13 +1,13 @@
 //! A backend server and this router's requests in flight to it.
 
-use super::shared_wait_estimator::SharedWaitEstimator;
+use super::{availability::Availability, shared_wait_estimator::SharedWaitEstimator};
 use crate::connection::ConnectionPool;
 use mallowpath::{BackendId, ServiceId, Zone};
 use std::{
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Instant,
 };
@@ -44,7 +44,8 @@
     pub(crate) pool: ConnectionPool,
     /// Estimates the waits of all requests of the service.
     wait_estimator: Arc<SharedWaitEstimator>,
-    draining: AtomicBool,
+    /// Whether the backend server takes new requests.
+    pub availability: Availability,
     in_flight: AtomicU64,
     prefill_tokens: AtomicU64,
 }
@@ -63,7 +64,7 @@
     /// Returns a backend server without requests in flight.
     pub(crate) fn new(entry: BackendEntry, wait_estimator: Arc<SharedWaitEstimator>) -> Arc<Self> {
         Arc::new(Self {
-            draining: AtomicBool::new(entry.draining),
+            availability: Availability::new(entry.draining),
             entry,
             pool: ConnectionPool::default(),
             wait_estimator,
@@ -72,16 +73,6 @@
         })
     }
 
-    /// Returns whether the backend server accepts no new requests.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
-    }
-
-    /// Sets whether the backend server accepts no new requests.
-    pub fn set_draining(&self, draining: bool) {
-        self.draining.store(draining, Ordering::Relaxed);
-    }
-
     /// Returns the number of this router's requests in flight to the backend server.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/src/placement/backend_registry.rs
+++ b/crates/gateway/src/placement/backend_registry.rs
@@ -13,7 +13,7 @@
     pick,
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -51,6 +51,8 @@
     services: HashMap<ServiceId, ServiceGroup>,
     prefixes: PrefixMap,
     choice: ChoiceSettings,
+    /// The availability zones whose backend servers get no new requests.
+    evacuated_zones: BTreeSet<Zone>,
 }
 
 /// The backend servers of one service.
@@ -69,6 +71,7 @@
             services: HashMap::new(),
             prefixes: PrefixMap::new(PROMPT_PARTS_MAX, PROMPT_PART_TTL_MS),
             choice: ChoiceSettings::default(),
+            evacuated_zones: BTreeSet::new(),
         };
         Self {
             zone,
@@ -83,7 +86,7 @@
     pub fn insert(&self, entry: BackendEntry) {
         let mut state = self.lock();
         if let Some(known) = state.backends.get(&entry.id) {
-            known.set_draining(entry.draining);
+            known.availability.set_draining(entry.draining);
             if known.entry.is_same_incarnation(&entry) {
                 return;
             }
@@ -155,7 +158,7 @@
         let group = state.services.get(query.service)?;
         let mut usable = Vec::with_capacity(group.members.len());
         for backend in &group.members {
-            if is_usable(backend, tried) {
+            if state.is_usable(backend, tried, now_ms) {
                 usable.push(backend);
             }
         }
@@ -206,17 +209,54 @@
     }
 
     /// Returns whether any backend server of the service accepts requests and is not in `tried`.
-    pub fn has_usable_backend(&self, service: &ServiceId, tried: &[BackendId]) -> bool {
+    pub fn has_usable_backend(
+        &self,
+        service: &ServiceId,
+        tried: &[BackendId],
+        now_ms: u64,
+    ) -> bool {
         let state = self.lock();
         let group = state.services.get(service);
         group.is_some_and(|group| {
             group
                 .members
                 .iter()
-                .any(|backend| is_usable(backend, tried))
+                .any(|backend| state.is_usable(backend, tried, now_ms))
         })
     }
 
+    /// Returns the time until the first backend server of the service takes requests again, if each
+    /// one that is not shutting down has asked for a pause.
+    pub fn shortest_pause_ms(&self, service: &ServiceId, now_ms: u64) -> Option<u64> {
+        let state = self.lock();
+        let group = state.services.get(service)?;
+        let mut shortest_ms: Option<u64> = None;
+        for backend in &group.members {
+            if backend.availability.is_shutting_down() || state.is_evacuated(backend) {
+                continue;
+            }
+            let pause_ms = backend.availability.pause_ms(now_ms);
+            shortest_ms = Some(shortest_ms.map_or(pause_ms, |ms| ms.min(pause_ms)));
+        }
+        shortest_ms.filter(|&pause_ms| pause_ms > 0)
+    }
+
+    /// Sets whether the backend servers of an availability zone get no new requests; returns
+    /// whether that is a change.
+    pub fn set_evacuated(&self, zone: &Zone, is_evacuated: bool) -> bool {
+        let mut state = self.lock();
+        if is_evacuated {
+            state.evacuated_zones.insert(zone.clone())
+        } else {
+            state.evacuated_zones.remove(zone)
+        }
+    }
+
+    /// Returns the availability zones whose backend servers get no new requests.
+    pub fn evacuated_zones(&self) -> Vec<Zone> {
+        self.lock().evacuated_zones.iter().cloned().collect()
+    }
+
     /// Records a success of a backend server for outlier ejection.
     pub fn record_success(&self, backend: &Backend, now_ms: u64) {
         if let Some(group) = self.lock().services.get_mut(&backend.entry.service) {
@@ -273,7 +313,7 @@
         let Some(backend) = self.backends.remove(id) else {
             return;
         };
-        backend.set_draining(true);
+        backend.availability.set_draining(true);
         self.prefixes.remove(id);
         if let Some(group) = self.services.get_mut(&backend.entry.service) {
             group.members.retain(|member| member.entry.id != *id);
@@ -281,6 +321,18 @@
         }
     }
 
+    /// Returns whether a request that was sent to the backend servers in `tried` may be sent to
+    /// `backend`.
+    fn is_usable(&self, backend: &Backend, tried: &[BackendId], now_ms: u64) -> bool {
+        backend.availability.accepts_requests(now_ms)
+            && !tried.contains(&backend.entry.id)
+            && !self.is_evacuated(backend)
+    }
+
+    fn is_evacuated(&self, backend: &Backend) -> bool {
+        self.evacuated_zones.contains(&backend.entry.zone)
+    }
+
     /// Returns the estimated number of prompt tokens that `backend` has not cached.
     ///
     /// All shared parts except the last belong to many sessions and are assumed to be cached on
@@ -311,10 +363,6 @@
     }
 }
 
-fn is_usable(backend: &Backend, tried: &[BackendId]) -> bool {
-    !backend.is_draining() && !tried.contains(&backend.entry.id)
-}
-
 /// Returns the prompt parts that other requests may have in common with this one.
 fn shared_parts(prompt: &[PromptPart]) -> &[PromptPart] {
     prompt.split_last().map_or(&[], |(_, shared)| shared)
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Admission control, selection of backend servers, and the limit on retries.
 
+mod availability;
 mod backend;
 mod backend_registry;
 mod choice;
@@ -8,6 +9,7 @@
 mod shared_wait_estimator;
 mod wait_estimator;
 
+pub use availability::Availability;
 pub use backend::{Backend, BackendEntry, InFlight};
 pub use backend_registry::{BackendQuery, BackendRegistry};
 pub use choice::{Candidate, ChoiceSettings, choose};
--- a/crates/gateway/src/process/watch.rs
+++ b/crates/gateway/src/process/watch.rs
@@ -9,7 +9,7 @@
     store_transport::StoreTransport,
 };
 use crate::{placement::BackendEntry, version::Configuration};
-use mallowpath::{BackendId, Category, Error, Result};
+use mallowpath::{BackendId, Category, Error, Result, Zone};
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
@@ -22,6 +22,9 @@
 pub struct Decoders {
     /// The key of the record that holds the configuration.
     pub configuration_key: &'static str,
+    /// The prefix of the keys whose records evacuate availability zones; the name of the zone
+    /// follows it.
+    pub evacuation_prefix: &'static str,
     /// Decodes a configuration.
     pub configuration: fn(&[u8]) -> Result<Configuration>,
     /// Decodes the registration of a backend server from its key and value; fails if it does not
@@ -32,11 +35,20 @@
 /// Applies every version of the configuration from the store; never returns.
 pub(crate) async fn watch_configuration(gateway: Arc<Gateway>, store: Store, decoders: Decoders) {
     let apply = |update| {
-        let (TopicUpdate::Snapshot(records) | TopicUpdate::Records(records)) = update else {
-            return;
+        let records = match update {
+            TopicUpdate::Snapshot(records) => {
+                end_unlisted_evacuations(&gateway, &records, decoders.evacuation_prefix);
+                records
+            }
+            TopicUpdate::Records(records) => records,
+            TopicUpdate::ReadFailed => return,
         };
         gateway.configuration_read.record_now();
         for record in records {
+            if let Some(zone) = record.key.strip_prefix(decoders.evacuation_prefix) {
+                set_evacuated(&gateway, zone, record.value.is_some());
+                continue;
+            }
             if *record.key != *decoders.configuration_key {
                 continue;
             }
@@ -55,6 +67,38 @@
     follow_topic(store, Topic::Configuration, apply).await;
 }
 
+/// Starts or ends the evacuation of an availability zone, in which backend servers get no new
+/// requests.
+fn set_evacuated(gateway: &Gateway, zone: &str, is_evacuated: bool) {
+    let zone = match zone.parse::<Zone>() {
+        Ok(zone) => zone,
+        Err(error) => {
+            log::warn!(target: "backend", "ignoring the evacuation of {zone:?}: {error}");
+            return;
+        }
+    };
+    if gateway.backends.set_evacuated(&zone, is_evacuated) {
+        let state = if is_evacuated {
+            "evacuated"
+        } else {
+            "in use again"
+        };
+        log::info!(target: "backend", "availability zone {zone} is {state}");
+    }
+}
+
+/// Ends the evacuations that a complete list of the operators' records no longer includes.
+fn end_unlisted_evacuations(gateway: &Gateway, records: &[StoreRecord], prefix: &str) {
+    for zone in gateway.backends.evacuated_zones() {
+        let is_listed = records
+            .iter()
+            .any(|record| record.key.strip_prefix(prefix) == Some(zone.as_str()));
+        if !is_listed {
+            set_evacuated(gateway, zone.as_str(), false);
+        }
+    }
+}
+
 /// Applies the registrations of backend servers as they are read.
 #[derive(Debug)]
 struct BackendWatcher {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,9 @@
 //! One attempt to send a request to a backend server.
 
-use super::message_heads::{AnswerKind, BackendAnswer, BackendRequestHead};
+use super::{
+    message_heads::{AnswerKind, BackendAnswer, BackendRequestHead},
+    retry_after::requested_pause,
+};
 use crate::{
     connection::{BackendConnection, SendOutcome, connect},
     placement::{Backend, InFlight},
@@ -59,7 +62,7 @@
     /// The backend server was not reached; no byte of the request was sent.
     Unreached(String),
     /// The backend server states that the request has not run.
-    NotRun(StatusCode),
+    NotRun,
     /// No valid answer to this request was received; the request may have run.
     NoValidAnswer(String),
 }
@@ -171,6 +174,7 @@
 ) -> AttemptOutcome {
     let (head, body) = response.into_parts();
     let backend_answer = (gateway.head_codec.read_answer_head)(&head);
+    record_availability(gateway, in_flight.backend(), &head, &backend_answer);
     let rejected = backend_answer.not_run || head.status == StatusCode::MISDIRECTED_REQUEST;
     // A rejection may lack the identifier, but a late rejection of another request contains that
     // request's identifier.
@@ -179,7 +183,7 @@
         return AttemptOutcome::NoValidAnswer("an answer to another request".to_owned());
     }
     if rejected {
-        return AttemptOutcome::NotRun(head.status);
+        return AttemptOutcome::NotRun;
     }
     if head.status.is_success() && !backend_answer.is_signed {
         return AttemptOutcome::NoValidAnswer("a success without a signature".to_owned());
@@ -198,6 +202,31 @@
     }))
 }
 
+/// Records what an answer states about further requests to the backend server.
+fn record_availability(
+    gateway: &Gateway,
+    backend: &Backend,
+    head: &response::Parts,
+    backend_answer: &BackendAnswer,
+) {
+    let id = &backend.entry.id;
+    let availability = &backend.availability;
+    if backend_answer.is_leaving && availability.set_leaving() {
+        log::info!(target: "backend", "{id} states that it is shutting down; no new requests");
+    }
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // Another incarnation has taken over the address.
+        availability.set_draining(true);
+    }
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    if let Some(pause) = requested_pause(&head.headers, id.as_str()) {
+        availability.pause_until(gateway.now_ms().saturating_add(millis(pause)));
+        log::info!(target: "backend", "{id} asks for a pause of {} ms", millis(pause));
+    }
+}
+
 /// Reads the whole body of an answer and returns its connection to the pool.
 ///
 /// Returns `None` when the body breaks off, exceeds [`BODY_MAX_BYTES`] or is not complete at
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -124,7 +124,7 @@
                 AttemptOutcome::NoValidAnswer(detail) => {
                     self.handle_lost(&backend, &detail, &mut log)
                 }
-                AttemptOutcome::NotRun(status) => self.handle_not_run(&backend, status, &mut log),
+                AttemptOutcome::NotRun => self.handle_not_run(&mut log),
                 AttemptOutcome::Unreached(detail) => {
                     self.handle_unreached(&backend, &detail, &mut log)
                 }
@@ -173,7 +173,7 @@
     pub(super) fn has_untried_backend(&self) -> bool {
         self.gateway
             .backends
-            .has_usable_backend(&self.service, &self.tried)
+            .has_usable_backend(&self.service, &self.tried, self.gateway.now_ms())
     }
 
     /// Returns whether the request may be sent again, and if so, uses one of the service's retries.
@@ -253,17 +253,8 @@
     }
 
     /// Handles a rejection by the backend server, which has not run the request.
-    fn handle_not_run(
-        &mut self,
-        backend: &Backend,
-        status: StatusCode,
-        log: &mut RequestLog,
-    ) -> NextStep {
+    fn handle_not_run(&mut self, log: &mut RequestLog) -> NextStep {
         log.set_failure("rejected without a run");
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            // Another incarnation has taken over the address.
-            backend.set_draining(true);
-        }
         self.sent_count += 1;
         if !self.may_have_run {
             self.reason = Reason::Rejected;
@@ -313,7 +304,11 @@
         }
         log_spent(log, reservation.as_ref());
         let rejection = match (self.may_have_run, self.reason) {
-            (false, reason) => Rejection::no_capacity(reason),
+            (false, reason) => {
+                let backends = &self.gateway.backends;
+                let pause_ms = backends.shortest_pause_ms(&self.service, self.gateway.now_ms());
+                Rejection::no_capacity(reason, pause_ms)
+            }
             (true, Reason::Timeout) => Rejection::new(StatusCode::GATEWAY_TIMEOUT, Reason::Timeout),
             (true, _) => Rejection::new(StatusCode::BAD_GATEWAY, Reason::AnswerLost),
         };
--- a/crates/gateway/src/request/message_heads.rs
+++ b/crates/gateway/src/request/message_heads.rs
@@ -73,6 +73,8 @@
     pub attempt_id: Option<Arc<str>>,
     /// Whether the backend server states that the request has not run and never will.
     pub not_run: bool,
+    /// Whether the backend server states that it is shutting down.
+    pub is_leaving: bool,
     /// Whether the answer has the backend server's signature.
     pub is_signed: bool,
     /// The kind of the body.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod message_heads;
 mod rejection;
 mod request_log;
+mod retry_after;
 mod stream;
 
 pub(crate) use answer::AnswerBody;
--- a/crates/gateway/src/request/rejection.rs
+++ b/crates/gateway/src/request/rejection.rs
@@ -48,11 +48,13 @@
     }
 
     /// Returns a rejection of a request that no backend server accepted.
-    pub(super) fn no_capacity(reason: Reason) -> Self {
+    ///
+    /// `pause_ms` is the time until a backend server accepts requests again, if it is known.
+    pub(super) fn no_capacity(reason: Reason, pause_ms: Option<u64>) -> Self {
         Self::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             reason,
-            NO_CAPACITY_RETRY_AFTER_MS,
+            pause_ms.unwrap_or_default().max(NO_CAPACITY_RETRY_AFTER_MS),
         )
     }
 
--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -228,6 +228,7 @@
     BackendAnswer {
         attempt_id: text(headers, "x-attempt").map(Arc::from),
         not_run: headers.contains_key("x-not-run"),
+        is_leaving: headers.contains_key("x-leaving"),
         is_signed: headers.contains_key("x-signature"),
         kind: match content_type {
             "text/event-stream" => AnswerKind::Stream,
@@ -245,6 +246,7 @@
 fn decoders() -> Decoders {
     Decoders {
         configuration_key: "configuration",
+        evacuation_prefix: "evacuated/",
         configuration: read_configuration,
         backend: read_entry,
     }
@@ -305,13 +307,20 @@
     }
 }
 
-/// Decodes an address with an optional prefix `leaving `.
+/// Decodes an address with an optional prefix `leaving ` or `in ZONE `; the default zone is `zone-1`.
 fn read_entry(key: &str, value: &[u8]) -> Result<BackendEntry> {
     let text = std::str::from_utf8(value).unwrap_or_default();
     let (draining, address) = match text.strip_prefix("leaving ") {
         Some(address) => (true, address),
         None => (false, text),
     };
+    let (zone, address) = match address
+        .strip_prefix("in ")
+        .and_then(|rest| rest.split_once(' '))
+    {
+        Some((zone, address)) => (zone, address),
+        None => ("zone-1", address),
+    };
     let Ok(address) = address.parse() else {
         let category = mallowpath::Category::Protocol;
         return Err(Error::new(category, "read", key, "invalid address"));
@@ -321,7 +330,7 @@
         started_at_ms: None,
         service: "s".parse().unwrap(),
         address,
-        zone: "zone-1".parse().unwrap(),
+        zone: zone.parse().unwrap(),
         slots: 4,
         draining,
         runs_model: true,
--- a/crates/gateway/tests/common/server.rs
+++ b/crates/gateway/tests/common/server.rs
@@ -28,6 +28,8 @@
     LargeEvents(std::ops::RangeInclusive<u64>, usize),
     /// Writes the final chunk of a stream.
     StreamEnd,
+    /// Writes a text again and again until the peer closes the connection.
+    Flood(&'static str),
     /// Waits for a number of milliseconds.
     Wait(u64),
     /// Closes the connection.
@@ -41,7 +43,8 @@
     pub address: SocketAddr,
     /// The heads of the requests that it has read, in order and in lower case.
     pub requests: Arc<Mutex<Vec<String>>>,
-    /// How often the peer closed the connection during [`ScriptStep::AwaitClose`].
+    /// How often the peer closed the connection during [`ScriptStep::AwaitClose`] or
+    /// [`ScriptStep::Flood`].
     pub peer_closes: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
@@ -134,6 +137,12 @@
                     }
                 }
                 ScriptStep::StreamEnd => stream.write_all(b"0\r\n\r\n").await?,
+                ScriptStep::Flood(text) => {
+                    let block = text.repeat(64);
+                    while stream.write_all(block.as_bytes()).await.is_ok() {}
+                    peer_close_count.fetch_add(1, Ordering::SeqCst);
+                    return Ok(());
+                }
                 ScriptStep::Wait(ms) => sleep(Duration::from_millis(*ms)).await,
                 ScriptStep::Close => return Ok(()),
                 ScriptStep::AwaitClose => {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -159,7 +159,7 @@
     });
     let (new, _) = registry.choose(&query, &[], 0).unwrap();
     assert_eq!((old.in_flight(), new.in_flight()), (1, 0));
-    assert!(old.is_draining());
+    assert!(old.availability.is_shutting_down());
 }
 
 #[test]
