Let one router keep each budget, where the others reserve request by request

Cause: each of 68 routers held a share of each of 40 budgets and read each other's account. A refill came each 0.5 s a router, so holdings were 0.8 s of demand. Change: RouterDirectory ranks the routers that answer for each workspace; the first one keeps the budget, the others reserve there over the library's links (ReserveTokens, ReserveReply, SettleTokens). The ledger and its check of the sum stay as they were, so nothing about money rests on who keeps what. Routers register in a topic of their own. An unsettled reservation counts as spent when it expires.

--- a/crates/gateway/src/budget/draw_plan.rs
+++ b/crates/gateway/src/budget/draw_plan.rs
@@ -21,6 +21,9 @@
     /// The tokens that waiting requests need, or those of the largest request that could not
     /// reserve its tokens since the last draw, whichever is more.
     pub shortage_tokens: u64,
+    /// Whether the router keeps the budget for the fleet; if not, it holds no more than requests
+    /// need at present.
+    pub is_kept: bool,
 }
 
 /// The settings of [`plan_account`].
@@ -106,6 +109,9 @@
     router_count: f64,
     settings: &DrawSettings,
 ) -> u64 {
+    if !holding.is_kept {
+        return 0;
+    }
     let for_demand = scaled(1, holding.tokens_per_s * settings.horizon_s);
     let floor = scaled(undrawn, settings.floor_share / router_count);
     for_demand.max(floor)
--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use std::{
     collections::BTreeMap,
+    fmt,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -45,12 +46,18 @@
     local_budgets: Arc<LocalBudgets>,
     settings: DrawSettings,
     ledger: LedgerView,
+    /// Returns whether this router keeps the budget of a workspace.
+    is_keeper: KeeperCheck,
     /// No other lock is taken while this one is held.
     writer: Mutex<WriterState>,
     /// Held for a whole draw, so that no draw applies a grant that a later one has returned.
     draw_lock: tokio::sync::Mutex<()>,
 }
 
+/// Returns whether this router keeps the budget of a workspace.
+#[derive(Clone)]
+struct KeeperCheck(Arc<dyn Fn(&WorkspaceId) -> bool + Send + Sync>);
+
 /// The state of this incarnation as a writer of the ledger.
 #[derive(Debug, Default)]
 struct WriterState {
@@ -68,17 +75,12 @@
 }
 
 /// Draws and returns tokens of the budgets in the current configuration until `is_closing` returns true.
-///
-/// Calls `routers_changed` with the number of routers in the ledger after reading it.
 pub(crate) async fn run_draws(
     task: Arc<DrawTask>,
     configuration: impl Fn() -> Option<Arc<Configuration>>,
     is_closing: impl Fn() -> bool,
-    routers_changed: impl Fn(usize),
 ) {
-    let router_count = || task.ledger.router_count();
     task.load_ledger().await;
-    routers_changed(router_count());
     let mut next_refill = Instant::now();
     while !is_closing() {
         let review = Duration::from_millis(REVIEW_INTERVAL_MS);
@@ -92,7 +94,6 @@
             continue;
         }
         if task.draw_once(&configuration).await {
-            routers_changed(router_count());
             let interval = task
                 .refill_interval()
                 .mul_f64(rand::random_range(0.75..1.25));
@@ -138,6 +139,12 @@
     changed: BTreeMap<WorkspaceId, [u64; 5]>,
 }
 
+impl fmt::Debug for KeeperCheck {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeeperCheck").finish_non_exhaustive()
+    }
+}
+
 impl DrawTask {
     /// Creates the task of `router`, which is the key of its account.
     pub fn new(
@@ -152,11 +159,32 @@
             router,
             local_budgets,
             settings,
+            is_keeper: KeeperCheck(Arc::new(|_| true)),
             writer: Mutex::default(),
             draw_lock: tokio::sync::Mutex::default(),
         }
     }
 
+    /// Holds tokens in advance only of the budgets for which `is_keeper` returns true.
+    #[must_use]
+    pub fn with_keeper_check(
+        mut self,
+        is_keeper: impl Fn(&WorkspaceId) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        self.is_keeper = KeeperCheck(Arc::new(is_keeper));
+        self
+    }
+
+    /// Returns the tokens that this router holds.
+    pub(super) fn local_budgets(&self) -> &Arc<LocalBudgets> {
+        &self.local_budgets
+    }
+
+    /// Returns whether another process has taken over the router's account.
+    pub(super) fn is_fenced(&self) -> bool {
+        self.writer().fenced
+    }
+
     /// Returns this process's copy of the ledger.
     pub fn ledger(&self) -> &LedgerView {
         &self.ledger
@@ -226,10 +254,13 @@
             let Some(prepaid) = workspace.prepaid else {
                 continue;
             };
-            holdings.push(
-                self.local_budgets
-                    .holding(&workspace.id, prepaid, refill_below_s, now),
-            );
+            let holding = self
+                .local_budgets
+                .holding(&workspace.id, prepaid, refill_below_s, now);
+            holdings.push(Holding {
+                is_kept: (self.is_keeper.0)(&workspace.id),
+                ..holding
+            });
         }
         holdings
     }
--- /dev/null
+++ b/crates/gateway/src/budget/keeper_client.rs
@@ -0,0 +1,263 @@
+//! Reserves tokens at the routers that keep the budgets.
+
+use super::{
+    reservation::Reservation,
+    reserve::{DRAW_WAIT_MAX, ReserveError},
+};
+use crate::{
+    process::{PeerRouter, RouterDirectory},
+    request::millis,
+};
+use mallowpath::{
+    Backoff, Call, Dialer, Endpoint, FrameBody, Heartbeat, Hello, LinkSettings, ReserveAnswerKind,
+    ReserveReply, ReserveTokens, Responder, SettleTokens, WorkspaceId,
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::time::{sleep, timeout};
+
+/// Time for the first answer of a router; later ones may wait for a draw.
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Time for the answer after a draw.
+const DRAW_ANSWER_TIMEOUT: Duration = DRAW_WAIT_MAX.saturating_add(FIRST_ANSWER_TIMEOUT);
+
+/// Time after the end of a request at which its reservation expires at the latest.
+const EXPIRY_MARGIN: Duration = Duration::from_secs(3);
+
+/// Delays between attempts to reach a router again.
+const PROBE_BACKOFF: Backoff = Backoff {
+    min_ms: 100,
+    max_ms: 3_000,
+};
+
+/// Timing of the connections between routers.
+///
+/// Calls have timeouts of their own, so heartbeats only close connections that nobody uses.
+const LINK_SETTINGS: LinkSettings = LinkSettings {
+    heartbeat_interval_ms: 5_000,
+    silent_after_ms: 17_000,
+    connect_timeout_ms: 250,
+};
+
+/// Reserves tokens at other routers.
+#[derive(Debug)]
+pub struct KeeperClient {
+    directory: Arc<RouterDirectory>,
+    dialer: Arc<Dialer>,
+    /// Distinguishes the reservations of this incarnation from those of earlier ones.
+    incarnation: u64,
+    last_number: AtomicU64,
+}
+
+/// The answer of a router that was asked to reserve tokens.
+#[derive(Debug)]
+pub(crate) enum KeeperAnswer {
+    /// The tokens are reserved.
+    Reserved(Reservation),
+    /// The tokens can't be reserved.
+    Failed(ReserveError),
+    /// The router did not answer or can't decide; another one may.
+    Unavailable,
+}
+
+impl From<Result<Reservation, ReserveError>> for KeeperAnswer {
+    fn from(result: Result<Reservation, ReserveError>) -> Self {
+        match result {
+            Ok(reservation) => Self::Reserved(reservation),
+            Err(error) => Self::Failed(error),
+        }
+    }
+}
+
+/// Returns the endpoint of a router's connections to others.
+pub(crate) fn endpoint(
+    hello: Hello,
+    on_call: impl Fn(FrameBody, Responder) + Send + Sync + 'static,
+) -> Endpoint {
+    Endpoint {
+        hello,
+        settings: LINK_SETTINGS,
+        heartbeat: Arc::new(|_| Heartbeat::default()),
+        on_heartbeat: Arc::new(|_, _| {}),
+        on_call: Arc::new(on_call),
+    }
+}
+
+impl KeeperClient {
+    /// Returns a client that introduces itself with `hello`.
+    pub(crate) fn new(directory: Arc<RouterDirectory>, hello: Hello) -> Arc<Self> {
+        let incarnation = hello.incarnation;
+        let ignore_call = |body, _| {
+            log::debug!(target: "router", "ignoring a call on an outgoing connection: {body:?}");
+        };
+        Arc::new(Self {
+            directory,
+            dialer: Dialer::new(endpoint(hello, ignore_call)),
+            incarnation,
+            last_number: AtomicU64::new(0),
+        })
+    }
+
+    /// Reserves tokens at `keeper` for a request that ends within `request_time`.
+    pub(crate) async fn reserve(
+        self: &Arc<Self>,
+        keeper: &PeerRouter,
+        workspace: &WorkspaceId,
+        tokens: u64,
+        request_time: Duration,
+    ) -> KeeperAnswer {
+        let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
+        let expires_after = request_time + EXPIRY_MARGIN;
+        // Settled with no tokens spent if the call fails or is dropped, as its answer may be lost.
+        let reservation = self.reservation(keeper.address, number, tokens);
+        let message = ReserveTokens {
+            workspace: workspace.to_string(),
+            tokens,
+            expires_after_ms: millis(expires_after),
+            ..self.probe_message(number)
+        };
+        let Some(reply) = self.call(keeper.address, message).await else {
+            self.mark_unreachable(keeper);
+            return KeeperAnswer::Unavailable;
+        };
+        let error = match reply.kind() {
+            ReserveAnswerKind::Granted => return KeeperAnswer::Reserved(reservation),
+            ReserveAnswerKind::Spent => ReserveError::Spent,
+            ReserveAnswerKind::Short => ReserveError::Short {
+                retry_after_ms: reply.retry_after_ms,
+                held_tokens: reply.held_tokens,
+            },
+            ReserveAnswerKind::NoLedger => ReserveError::NoStore {
+                held_tokens: reply.held_tokens,
+            },
+            ReserveAnswerKind::Unavailable | ReserveAnswerKind::Pending => {
+                self.mark_unreachable(keeper);
+                return KeeperAnswer::Unavailable;
+            }
+        };
+        reservation.forget();
+        KeeperAnswer::Failed(error)
+    }
+
+    /// Returns a reservation that is settled at the router at `address`.
+    fn reservation(self: &Arc<Self>, address: SocketAddr, number: u64, tokens: u64) -> Reservation {
+        let client = Arc::clone(self);
+        Reservation::new(tokens, move |spent_tokens| {
+            let message = SettleTokens {
+                router: client.incarnation,
+                number,
+                spent_tokens,
+            };
+            tokio::spawn(async move { client.settle(address, message).await });
+        })
+    }
+
+    /// Settles a reservation; if that fails, it counts as spent when it expires.
+    async fn settle(&self, address: SocketAddr, message: SettleTokens) {
+        match self.dialer.link(address).await {
+            Ok(link) => link.send_oneway(FrameBody::SettleTokens(message)).await,
+            Err(error) => log::debug!(
+                target: "router",
+                "can't settle a reservation, which will count as spent: {error}",
+            ),
+        }
+    }
+
+    /// Makes no use of a router until it answers again.
+    fn mark_unreachable(self: &Arc<Self>, keeper: &PeerRouter) {
+        if self.directory.set_reachable(&keeper.name, false) {
+            log::info!(target: "router", "{} does not answer, avoiding it", keeper.name);
+            tokio::spawn(Arc::clone(self).probe(keeper.clone()));
+        }
+    }
+
+    /// Asks a router until it answers that it keeps budgets.
+    async fn probe(self: Arc<Self>, keeper: PeerRouter) {
+        let mut failures = 0;
+        loop {
+            let delay_ms = PROBE_BACKOFF.delay_ms(failures, rand::random());
+            failures += 1;
+            sleep(Duration::from_millis(delay_ms)).await;
+            let number = self.last_number.fetch_add(1, Ordering::Relaxed) + 1;
+            match self.call(keeper.address, self.probe_message(number)).await {
+                Some(reply) if reply.kind() == ReserveAnswerKind::Granted => break,
+                Some(_) => {}
+                // The connection may be silent while new ones work.
+                None => self.close_link(keeper.address),
+            }
+        }
+        self.directory.set_reachable(&keeper.name, true);
+        log::info!(target: "router", "{} answers again", keeper.name);
+    }
+
+    fn close_link(&self, address: SocketAddr) {
+        if let Some(link) = self.dialer.open_link(address) {
+            link.close();
+        }
+    }
+
+    /// Returns a message that reserves nothing.
+    fn probe_message(&self, number: u64) -> ReserveTokens {
+        ReserveTokens {
+            router: self.incarnation,
+            number,
+            ..ReserveTokens::default()
+        }
+    }
+
+    /// Sends a message and returns the last answer; `None` if there is none in time.
+    async fn call(&self, address: SocketAddr, message: ReserveTokens) -> Option<ReserveReply> {
+        let first = timeout(FIRST_ANSWER_TIMEOUT, self.open_call(address, message)).await;
+        let (mut reply, mut call) = first.ok()??;
+        if reply.kind() == ReserveAnswerKind::Pending {
+            let last = timeout(DRAW_ANSWER_TIMEOUT, next_reply(&mut call)).await;
+            reply = last.ok()??;
+        }
+        call.finish();
+        Some(reply)
+    }
+
+    /// Sends a message and returns the first answer with the call.
+    async fn open_call(
+        &self,
+        address: SocketAddr,
+        message: ReserveTokens,
+    ) -> Option<(ReserveReply, Call)> {
+        let call = match self.dialer.link(address).await {
+            Ok(link) => link.open_call(FrameBody::ReserveTokens(message)).await,
+            Err(error) => Err(error),
+        };
+        let mut call = match call {
+            Ok(call) => call,
+            Err(error) => {
+                log::debug!(target: "router", "can't ask for tokens: {error}");
+                return None;
+            }
+        };
+        let reply = next_reply(&mut call).await?;
+        Some((reply, call))
+    }
+}
+
+/// Waits for the next answer of a call; `None` if the connection closes or the answer is invalid.
+async fn next_reply(call: &mut Call) -> Option<ReserveReply> {
+    match call.next().await {
+        Some(FrameBody::ReserveReply(reply)) => Some(reply),
+        Some(other) => {
+            log::warn!(
+                target: "router",
+                "unexpected answer of {} to a reservation: {other:?}",
+                call.link().remote(),
+            );
+            None
+        }
+        None => None,
+    }
+}
--- a/crates/gateway/src/budget/local_budgets.rs
+++ b/crates/gateway/src/budget/local_budgets.rs
@@ -1,6 +1,6 @@
 //! The tokens that a router holds and spends without a call to the store.
 
-use super::{draw_plan::Holding, ledger::Account};
+use super::{draw_plan::Holding, ledger::Account, reservation::Reservation};
 use mallowpath::WorkspaceId;
 use std::{
     collections::HashMap,
@@ -41,16 +41,6 @@
     refill_below_s: f64,
 }
 
-/// Tokens reserved for one request; when dropped, the tokens not spent become available again.
-#[derive(Debug)]
-pub struct Reservation {
-    local_budgets: Arc<LocalBudgets>,
-    workspace: WorkspaceId,
-    tokens: u64,
-    /// Tokens that count as spent when the reservation is dropped.
-    spent: u64,
-}
-
 /// A request that waits for tokens, with priority over requests that do not wait yet.
 ///
 /// Its tokens are kept from other requests until it is dropped.
@@ -148,12 +138,11 @@
         if is_low {
             self.refill_needed.notify_one();
         }
-        Ok(Reservation {
-            local_budgets: Arc::clone(self),
-            workspace: workspace.clone(),
-            tokens,
-            spent: 0,
-        })
+        let local_budgets = Arc::clone(self);
+        let workspace = workspace.clone();
+        Ok(Reservation::new(tokens, move |spent| {
+            local_budgets.settle(&workspace, tokens, spent);
+        }))
     }
 
     /// Returns a future that completes when tokens are added after this call, or when a draw finds
@@ -204,6 +193,7 @@
             reserved: budget.reserved,
             tokens_per_s: budget.tokens_per_s(),
             shortage_tokens: budget.shortage_tokens(),
+            is_kept: true,
         }
     }
 
@@ -318,23 +308,6 @@
     }
 }
 
-impl Reservation {
-    /// Sets the request's cost so far, at most the reserved tokens; it is spent on drop.
-    pub fn set_spent(&mut self, tokens: u64) {
-        self.spent = tokens.min(self.tokens);
-    }
-
-    /// Returns the tokens that count as spent when the reservation is dropped.
-    pub fn spent(&self) -> u64 {
-        self.spent
-    }
-
-    /// Counts all reserved tokens as spent on drop, for a request whose cost can't be known.
-    pub fn mark_all_spent(&mut self) {
-        self.spent = self.tokens;
-    }
-}
-
 impl TokenWaiter {
     /// Reserves the tokens for the waiting request.
     ///
@@ -356,10 +329,3 @@
         }
     }
 }
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.local_budgets
-            .settle(&self.workspace, self.tokens, self.spent);
-    }
-}
--- a/crates/gateway/src/budget/mod.rs
+++ b/crates/gateway/src/budget/mod.rs
@@ -1,14 +1,26 @@
-//! Prepaid budgets: the ledger of all routers' tokens, and this router's local budgets and draws.
+//! Prepaid budgets: the ledger of all routers' tokens, this router's local budgets and draws, and
+//! reservations at the routers that keep the budgets.
 
 mod draw_plan;
 mod draw_task;
+mod keeper_client;
+mod keeper_server;
 mod ledger;
 mod ledger_view;
 mod local_budgets;
+mod remote_reservations;
+mod reservation;
+mod reserve;
 
 pub use draw_plan::{DrawSettings, Holding, plan_account};
 pub use draw_task::DrawTask;
 pub(crate) use draw_task::{return_unspent, run_draws};
+pub use keeper_client::KeeperClient;
+pub(crate) use keeper_client::{KeeperAnswer, endpoint};
+pub(crate) use keeper_server::{handle_peer_message, run_expiry};
 pub use ledger::{Account, AccountLedger, AccountLine};
 pub use ledger_view::LedgerView;
-pub use local_budgets::{InsufficientTokens, LocalBudgets, Reservation, TokenWaiter};
+pub use local_budgets::{InsufficientTokens, LocalBudgets, TokenWaiter};
+pub use remote_reservations::{RemoteReservations, ReservationKey};
+pub use reservation::Reservation;
+pub(crate) use reserve::{ReserveError, TokenRequest, is_spent, reserve_drawn, reserve_held};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 //!     reserved: 0,
 //!     tokens_per_s: 10.0,
 //!     shortage_tokens: 0,
+//!     is_kept: true,
 //! };
 //! let next = plan_account(&ledger, &base, &[holding], &DrawSettings::default())
 //!     .expect("a draw is due");
@@ -51,7 +52,8 @@
 
 pub use budget::{
     Account, AccountLedger, AccountLine, DrawSettings, DrawTask, Holding, InsufficientTokens,
-    LedgerView, LocalBudgets, Reservation, TokenWaiter, plan_account,
+    KeeperClient, LedgerView, LocalBudgets, RemoteReservations, Reservation, ReservationKey,
+    TokenWaiter, plan_account,
 };
 pub use placement::{
     Availability, Backend, BackendEntry, BackendQuery, BackendRegistry, Candidate, ChoiceSettings,
@@ -59,9 +61,10 @@
     WaitEstimatorSettings, choose,
 };
 pub use process::{
-    AppendCall, AppendId, AppendOutcome, Decoders, Gateway, GatewaySettings, ListenSettings,
-    LogGuard, NewestCall, Phase, ReadCall, SidecarSettings, Store, StorePage, StoreRecord,
-    StoreTransport, Topic, run_relay, start_json_logging,
+    AppendCall, AppendId, AppendOutcome, BudgetKeeper, Decoders, Gateway, GatewaySettings,
+    ListenSettings, LogGuard, NewestCall, PeerRouter, Phase, ReadCall, RouterDirectory,
+    SidecarSettings, Store, StorePage, StoreRecord, StoreTransport, Topic, run_relay,
+    start_json_logging,
 };
 pub use request::{
     AnswerKind, BackendAnswer, BackendRequestHead, CallerRequest, EventError, EventSplitter,
--- a/crates/gateway/src/process/follow_topic.rs
+++ b/crates/gateway/src/process/follow_topic.rs
@@ -5,10 +5,6 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// How long a read at the end of a topic waits for a record; it bounds the time after which an
-/// unresponsive connection is detected.
-const READ_WAIT_MS: u64 = 1_500;
-
 /// The delays after failed reads.
 const READ_BACKOFF: Backoff = Backoff {
     min_ms: 100,
@@ -28,14 +24,20 @@
 
 /// Passes the newest record of each key of `topic`, then every later record, to `apply`.
 ///
-/// Retries failed reads and never returns.
-pub(crate) async fn follow_topic(store: Store, topic: Topic, mut apply: impl FnMut(TopicUpdate)) {
+/// A read at the end of the topic waits `wait_ms` for a record, which bounds the time after which an
+/// unresponsive connection is detected. Retries failed reads and never returns.
+pub(crate) async fn follow_topic(
+    store: Store,
+    topic: Topic,
+    wait_ms: u64,
+    mut apply: impl FnMut(TopicUpdate),
+) {
     let mut failures = 0;
     let mut from = None;
     loop {
         let result = match from {
             None => (store.newest)(topic).await,
-            Some(offset) => (store.read)(topic, offset, READ_WAIT_MS).await,
+            Some(offset) => (store.read)(topic, offset, wait_ms).await,
         };
         match result {
             Ok(page) => {
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -5,20 +5,26 @@
 use super::{
     last_read::LastRead,
     relay::serve_relay,
+    router_directory::RouterDirectory,
     settings::GatewaySettings,
     store::Store,
     store_transport::StoreTransport,
     watch::{Decoders, listen, watch_backends, watch_configuration},
+    watch_routers::watch_routers,
 };
 use crate::{
-    budget::{DrawTask, Holding, LocalBudgets, return_unspent, run_draws},
+    budget::{
+        DrawTask, Holding, KeeperClient, LocalBudgets, RemoteReservations, endpoint,
+        handle_peer_message, return_unspent, run_draws, run_expiry,
+    },
     connection::{CallerConnections, serve_callers},
     placement::{BackendEntry, BackendRegistry, RetryLimiter, RetryLimiterSettings},
     request::{HeadCodec, StateAges},
     version::{CallerLimits, Configuration},
 };
 use mallowpath::{
-    AdminHooks, BackendId, Result, ServiceId, WorkspaceId, serve_admin, serve_metrics,
+    AdminHooks, BackendId, Hello, Result, ServiceId, WorkspaceId, accept_links, serve_admin,
+    serve_metrics,
 };
 use std::{
     collections::HashMap,
@@ -27,6 +33,7 @@
     time::{Duration, Instant},
 };
 use tokio::{
+    net::TcpListener,
     sync::{Notify, watch},
     time::{sleep, timeout_at},
 };
@@ -37,6 +44,9 @@
 /// The part of the grace period that is reserved for returning unspent tokens.
 const TOKEN_RETURN_TIME: Duration = Duration::from_millis(600);
 
+/// Interval between checks for open reservations of other routers during the shutdown.
+const RESERVATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The phases of a process, from normal operation through its shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -58,6 +68,13 @@
     pub backends: BackendRegistry,
     pub(crate) local_budgets: Arc<LocalBudgets>,
     pub(crate) draw_task: Arc<DrawTask>,
+    /// The routers of the fleet.
+    pub directory: Arc<RouterDirectory>,
+    pub(crate) keeper_client: Arc<KeeperClient>,
+    /// Reservations of other routers at the budgets that this router keeps.
+    pub remote_reservations: RemoteReservations,
+    /// Identifies this process to other routers.
+    hello: Hello,
     pub(crate) callers: Arc<CallerConnections>,
     transport: Arc<StoreTransport>,
     configuration: RwLock<Option<Arc<Configuration>>>,
@@ -107,12 +124,16 @@
         let relay = listen(listen_at.relay).await?;
         let ready = listen(listen_at.ready).await?;
         let admin = listen(listen_at.admin).await?;
-        let mut gateway = Self::new(settings, head_codec, store.clone(), transport);
+        let peers = listen(listen_at.peers).await?;
+        let mut settings = settings;
         // Port 0 in the settings stands for any free port, so the actual one is recorded.
         if let Ok(address) = callers.local_addr() {
-            gateway.settings.listen.callers = address;
+            settings.listen.callers = address;
+        }
+        if let Ok(address) = peers.local_addr() {
+            settings.listen.peers = address;
         }
-        let gateway = Arc::new(gateway);
+        let gateway = Arc::new(Self::new(settings, head_codec, store.clone(), transport));
         serve_admin(ready, admin_hooks(&gateway));
         serve_admin(admin, admin_hooks(&gateway));
         if let Some(address) = listen_at.metrics {
@@ -128,7 +149,14 @@
         tokio::spawn(serve_relay(relay, Arc::clone(&gateway.transport)));
         let configuration = watch_configuration(Arc::clone(&gateway), store.clone(), decoders);
         tokio::spawn(configuration);
-        tokio::spawn(watch_backends(Arc::clone(&gateway), store, decoders));
+        tokio::spawn(watch_backends(
+            Arc::clone(&gateway),
+            store.clone(),
+            decoders,
+        ));
+        tokio::spawn(watch_routers(Arc::clone(&gateway), store));
+        serve_peers(&gateway, peers);
+        tokio::spawn(run_expiry(Arc::clone(&gateway)));
         tokio::spawn(run_draw_task(Arc::clone(&gateway)));
         tokio::spawn(serve_callers(Arc::clone(&gateway), callers));
         log::info!(target: "process", "router on {} started", gateway.settings.host);
@@ -148,6 +176,17 @@
             Arc::clone(&local_budgets),
             settings.draw_settings.clone(),
         );
+        let directory = Arc::new(RouterDirectory::new(Arc::clone(&settings.account)));
+        let keeper_directory = Arc::clone(&directory);
+        let draw_task =
+            draw_task.with_keeper_check(move |workspace| keeper_directory.is_keeper(workspace));
+        let hello = Hello {
+            incarnation: rand::random(),
+            host: settings.host.to_string(),
+            zone: settings.zone.to_string(),
+            address: settings.listen.peers.to_string(),
+            ..Hello::default()
+        };
         Self {
             backends: BackendRegistry::new(settings.zone.clone()),
             reloadable: RwLock::new(ReloadableSettings::new(&settings)),
@@ -155,6 +194,10 @@
             head_codec,
             local_budgets,
             draw_task: Arc::new(draw_task),
+            keeper_client: KeeperClient::new(Arc::clone(&directory), hello.clone()),
+            directory,
+            remote_reservations: RemoteReservations::default(),
+            hello,
             callers: Arc::default(),
             transport,
             configuration: RwLock::default(),
@@ -172,6 +215,11 @@
         self.settings.listen.callers
     }
 
+    /// Returns the address to which other routers connect.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.settings.listen.peers
+    }
+
     /// Returns the tokens that the router holds of a workspace's budget of `prepaid` tokens.
     pub fn holding(&self, workspace: &WorkspaceId, prepaid: u64) -> Holding {
         self.local_budgets
@@ -206,6 +254,7 @@
         });
         if has_started {
             log::info!(target: "process", "draining");
+            self.directory.stop_keeping();
             tokio::spawn(shut_down(Arc::clone(self)));
         }
     }
@@ -292,16 +341,6 @@
         self.transport.set_relays(relays);
     }
 
-    /// Returns whether a budget has too few unspent tokens left for a request of `tokens`.
-    pub(crate) fn is_budget_spent(
-        &self,
-        workspace: &WorkspaceId,
-        prepaid: u64,
-        tokens: u64,
-    ) -> bool {
-        self.draw_task.known_spent(workspace).saturating_add(tokens) > prepaid
-    }
-
     pub(crate) fn count_request(&self, service: &ServiceId) {
         self.with_retry_limiter(service, RetryLimiter::count_request);
     }
@@ -340,6 +379,9 @@
     fn set_gauges(&self) {
         metrics::gauge!("gateway_caller_connections").set(self.callers.open_count() as f64);
         metrics::gauge!("gateway_backends").set(self.backends.len() as f64);
+        metrics::gauge!("gateway_unreachable_routers")
+            .set(self.directory.unreachable_count() as f64);
+        metrics::gauge!("gateway_remote_reservations").set(self.remote_reservations.len() as f64);
     }
 
     fn dump(&self) -> serde_json::Value {
@@ -353,17 +395,28 @@
             "routes": configuration.as_ref().map(|configuration| configuration.route_count()),
             "backends": self.backends.len(),
             "connections": self.callers.open_count(),
+            "routers": self.directory.router_count(),
+            "unreachable_routers": self.directory.unreachable_count(),
+            "remote_reservations": self.remote_reservations.len(),
             "ledger_end": self.draw_task.ledger().lock().as_ref().map(|ledger| ledger.end().0),
         })
     }
 }
 
+/// Accepts connections of other routers, which reserve tokens.
+fn serve_peers(gateway: &Arc<Gateway>, listener: TcpListener) {
+    let handler = Arc::clone(gateway);
+    let endpoint = endpoint(gateway.hello.clone(), move |body, responder| {
+        handle_peer_message(&handler, body, responder);
+    });
+    tokio::spawn(accept_links(listener, endpoint, |_| async {}));
+}
+
 async fn run_draw_task(gateway: Arc<Gateway>) {
     let configuration = || gateway.configuration();
     let is_closing = || *gateway.phase.borrow() == Phase::Closing;
-    let set_router_count = |router_count| gateway.backends.set_router_count(router_count);
     let task = Arc::clone(&gateway.draw_task);
-    run_draws(task, configuration, is_closing, set_router_count).await;
+    run_draws(task, configuration, is_closing).await;
 }
 
 /// Shuts down gracefully.
@@ -388,6 +441,7 @@
             "shutdown deadline reached; ending with {open} connections open",
         );
     }
+    wait_for_reservations(&gateway, serving_deadline).await;
     if let Some(configuration) = gateway.configuration() {
         return_unspent(&gateway.draw_task, &configuration, end).await;
     }
@@ -395,6 +449,14 @@
     gateway.ended.notify_one();
 }
 
+/// Waits until other routers have settled their reservations, so that what they did not spend can be
+/// returned; gives up at `deadline`.
+async fn wait_for_reservations(gateway: &Gateway, deadline: Instant) {
+    while !gateway.remote_reservations.is_empty() && Instant::now() < deadline {
+        sleep(RESERVATION_CHECK_INTERVAL).await;
+    }
+}
+
 fn admin_hooks(gateway: &Arc<Gateway>) -> AdminHooks {
     AdminHooks::new(
         gateway,
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -5,15 +5,18 @@
 mod json_log;
 mod last_read;
 mod relay;
+mod router_directory;
 mod settings;
 mod store;
 mod store_transport;
 mod watch;
+mod watch_routers;
 
 pub use gateway::{Gateway, Phase};
 pub use json_log::{LogGuard, start_json_logging};
 pub(crate) use json_log::{log_event, log_request};
 pub(crate) use last_read::LastRead;
+pub use router_directory::{BudgetKeeper, PeerRouter, RouterDirectory};
 pub use settings::{GatewaySettings, ListenSettings, SidecarSettings};
 pub use store::{
     AppendCall, AppendId, AppendOutcome, NewestCall, ReadCall, Store, StorePage, StoreRecord, Topic,
--- /dev/null
+++ b/crates/gateway/src/process/router_directory.rs
@@ -0,0 +1,149 @@
+//! The routers of the fleet, and which of them keeps which budget.
+//!
+//! Each budget is kept by the reachable router that rendezvous hashing ranks first for its
+//! workspace. Routers may disagree for some time, for example after a network partition. Then
+//! several of them draw tokens of the same budget, which the ledger allows.
+
+use mallowpath::{Candidate, WorkspaceId, pick_n, rendezvous_key};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// The routers that this router knows.
+#[derive(Debug)]
+pub struct RouterDirectory {
+    own_name: Arc<str>,
+    /// No other lock is acquired while this one is held.
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    routers: BTreeMap<Arc<str>, RouterEntry>,
+    /// Whether this router keeps budgets; not so during its shutdown.
+    keeps_budgets: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RouterEntry {
+    address: SocketAddr,
+    is_reachable: bool,
+}
+
+/// Another router, at the address for its peers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerRouter {
+    /// The name of the router, which is the key of its account.
+    pub name: Arc<str>,
+    /// The address at which it accepts connections from other routers.
+    pub address: SocketAddr,
+}
+
+/// The router that keeps a budget.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BudgetKeeper {
+    /// This router.
+    Own,
+    /// Another router.
+    Peer(PeerRouter),
+}
+
+impl RouterDirectory {
+    /// Returns a directory that contains only this router.
+    pub fn new(own_name: Arc<str>) -> Self {
+        Self {
+            own_name,
+            state: Mutex::new(State {
+                routers: BTreeMap::new(),
+                keeps_budgets: true,
+            }),
+        }
+    }
+
+    /// Adds a router, or replaces its address; ignores this router.
+    pub fn insert(&self, router: PeerRouter) {
+        if router.name == self.own_name {
+            return;
+        }
+        let mut state = self.lock();
+        let known = state.routers.get(&router.name);
+        if known.is_some_and(|known| known.address == router.address) {
+            return;
+        }
+        let entry = RouterEntry {
+            address: router.address,
+            is_reachable: true,
+        };
+        state.routers.insert(router.name, entry);
+    }
+
+    /// Sets whether a router is reachable; returns whether that is a change.
+    pub fn set_reachable(&self, name: &str, is_reachable: bool) -> bool {
+        let mut state = self.lock();
+        let Some(router) = state.routers.get_mut(name) else {
+            return false;
+        };
+        let is_change = router.is_reachable != is_reachable;
+        router.is_reachable = is_reachable;
+        is_change
+    }
+
+    /// Makes this router keep no budgets any more.
+    pub fn stop_keeping(&self) {
+        self.lock().keeps_budgets = false;
+    }
+
+    /// Returns the number of routers, this one included.
+    pub fn router_count(&self) -> usize {
+        self.lock().routers.len() + 1
+    }
+
+    /// Returns the number of other routers that are not reachable.
+    pub fn unreachable_count(&self) -> usize {
+        let state = self.lock();
+        let unreachable = state.routers.values().filter(|router| !router.is_reachable);
+        unreachable.count()
+    }
+
+    /// Returns whether this router keeps the budget of a workspace.
+    pub fn is_keeper(&self, workspace: &WorkspaceId) -> bool {
+        self.keepers(workspace, 1).first() == Some(&BudgetKeeper::Own)
+    }
+
+    /// Returns the router that keeps the budget of a workspace, followed by those that replace it,
+    /// `count` at most.
+    pub fn keepers(&self, workspace: &WorkspaceId, count: usize) -> Vec<BudgetKeeper> {
+        let state = self.lock();
+        let mut names = Vec::with_capacity(state.routers.len() + 1);
+        if state.keeps_budgets {
+            names.push(candidate(&self.own_name));
+        }
+        for (name, router) in &state.routers {
+            if router.is_reachable {
+                names.push(candidate(name));
+            }
+        }
+        let mut keepers = Vec::with_capacity(count);
+        for index in pick_n(rendezvous_key(workspace.as_str()), &names, count) {
+            let keeper = match state.routers.get_key_value(names[index].name) {
+                Some((name, router)) => BudgetKeeper::Peer(PeerRouter {
+                    name: Arc::clone(name),
+                    address: router.address,
+                }),
+                None => BudgetKeeper::Own,
+            };
+            keepers.push(keeper);
+        }
+        keepers
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn candidate(name: &str) -> Candidate<'_> {
+    Candidate { name, weight: 1.0 }
+}
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -15,6 +15,8 @@
     pub admin: SocketAddr,
     /// Calls of the store that other processes make through this one.
     pub relay: SocketAddr,
+    /// Connections of other routers.
+    pub peers: SocketAddr,
     /// Metrics only, in addition to `admin`.
     pub metrics: Option<SocketAddr>,
 }
--- a/crates/gateway/src/process/store.rs
+++ b/crates/gateway/src/process/store.rs
@@ -18,6 +18,8 @@
     Backends,
     /// The tokens that each router holds of the budgets.
     Budgets,
+    /// The addresses of the routers.
+    Routers,
 }
 
 /// A record of a topic.
--- a/crates/gateway/src/process/watch.rs
+++ b/crates/gateway/src/process/watch.rs
@@ -17,6 +17,9 @@
 };
 use tokio::net::TcpListener;
 
+/// How long a read of configurations or registrations waits for a record.
+const READ_WAIT_MS: u64 = 1_500;
+
 /// The functions that decode records of operators and backend servers in the store.
 #[derive(Debug, Clone, Copy)]
 pub struct Decoders {
@@ -64,7 +67,7 @@
             }
         }
     };
-    follow_topic(store, Topic::Configuration, apply).await;
+    follow_topic(store, Topic::Configuration, READ_WAIT_MS, apply).await;
 }
 
 /// Starts or ends the evacuation of an availability zone, in which backend servers get no new
@@ -118,7 +121,8 @@
         pending_removals: HashMap::new(),
         read_failed_at: None,
     };
-    follow_topic(store, Topic::Backends, |update| watcher.apply(update)).await;
+    let apply = |update| watcher.apply(update);
+    follow_topic(store, Topic::Backends, READ_WAIT_MS, apply).await;
 }
 
 impl BackendWatcher {
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -7,9 +7,12 @@
     request_log::{Reason, RequestLog},
 };
 use crate::{
-    budget::{Reservation, TokenWaiter},
+    budget::{
+        KeeperAnswer, Reservation, ReserveError, TokenRequest, is_spent, reserve_drawn,
+        reserve_held,
+    },
     placement::RequestTimes,
-    process::Gateway,
+    process::{BudgetKeeper, Gateway},
     version::{Configuration, Route, Workspace},
 };
 use bytes::Bytes;
@@ -22,14 +25,8 @@
     time::{Duration, Instant},
 };
 
-/// Maximum time for which a request waits until the router has drawn tokens of its budget.
-const DRAW_WAIT_MAX: Duration = Duration::from_millis(400);
-
-/// `Retry-After` when other routers hold the tokens of the budget.
-const BUDGET_RETRY_AFTER_MS: u64 = 400;
-
-/// `Retry-After` when no tokens can be drawn because the store is unreachable.
-const STORE_OUTAGE_RETRY_AFTER_MS: u64 = 1_500;
+/// Number of routers that a request asks for tokens before this router draws them itself.
+const KEEPERS_TRIED_MAX: usize = 3;
 
 /// `Retry-After` when the router has not read a configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 500;
@@ -112,25 +109,18 @@
     }
 }
 
-/// Rejects a request for which the unspent rest of its budget is too small.
+/// Rejects a request for which the unspent rest of its budget is known to be too small.
 pub(super) fn admit_budget(
     gateway: &Gateway,
     workspace: Option<&Workspace>,
     tokens: Option<TokenCount>,
 ) -> Result<(), Rejection> {
-    let (Some(workspace), Some(tokens)) = (workspace, tokens) else {
-        return Ok(());
-    };
-    let Some(prepaid) = workspace.prepaid else {
-        return Ok(());
-    };
-    if gateway.is_budget_spent(&workspace.id, prepaid, tokens.max_cost()) {
-        return Err(Rejection::new(
-            StatusCode::PAYMENT_REQUIRED,
-            Reason::BudgetSpent,
-        ));
+    match token_request(workspace, tokens) {
+        Some(request) if is_spent(&gateway.draw_task, request) => {
+            Err(budget_rejection(ReserveError::Spent))
+        }
+        _ => Ok(()),
     }
-    Ok(())
 }
 
 /// Rejects a request that would be queued for too long at the backend servers.
@@ -179,94 +169,85 @@
     }
 }
 
-/// Reserves the maximum number of tokens that a request can cost.
+/// Reserves the maximum number of tokens that a request can cost, at the router that keeps the
+/// budget or, if it does not answer, at one that replaces it.
 ///
-/// Waits up to [`DRAW_WAIT_MAX`] for a draw if the router holds too few tokens. Returns `None` for
-/// a request without a prepaid budget.
+/// Returns `None` for a request without a prepaid budget.
 pub(super) async fn reserve(
     gateway: &Gateway,
     workspace: Option<&Workspace>,
     tokens: Option<TokenCount>,
+    deadline: Instant,
     log: &mut RequestLog,
 ) -> Result<Option<Reservation>, Rejection> {
-    let (Some(workspace), Some(tokens)) = (workspace, tokens) else {
-        return Ok(None);
-    };
-    let Some(prepaid) = workspace.prepaid else {
+    let Some(request) = token_request(workspace, tokens) else {
         return Ok(None);
     };
-    let started = Instant::now();
-    let until = started + DRAW_WAIT_MAX;
-    // Counted once, outside the loop: a waiting request tries again after each draw but needs its
-    // tokens only once.
-    gateway
-        .local_budgets
-        .count_demand(&workspace.id, tokens.max_cost(), started);
-    let mut waiter: Option<TokenWaiter> = None;
-    loop {
-        let refilled = gateway.local_budgets.refill_notification();
-        tokio::pin!(refilled);
-        // Enabled before the reservation is tried, so that tokens drawn between its failure and the
-        // wait end the wait.
-        refilled.as_mut().enable();
-        let now = Instant::now();
-        let reserved = match &waiter {
-            Some(waiter) => waiter.reserve(now),
-            None => gateway
-                .local_budgets
-                .reserve(&workspace.id, tokens.max_cost(), now),
-        };
-        let available = match reserved {
-            Ok(reservation) => return Ok(Some(reservation)),
-            Err(error) => {
-                log.set_detail(&format!("{} tokens held", error.available));
-                error.available
-            }
-        };
-        let waiter = waiter.get_or_insert_with(|| {
-            let local_budgets = &gateway.local_budgets;
-            local_budgets.register_waiter(&workspace.id, tokens.max_cost())
-        });
-        let rejection = match admit_wait(gateway, workspace, prepaid, tokens, available) {
-            Ok(()) => {
-                let waited = tokio::time::timeout_at(until.into(), refilled).await;
-                waited
-                    .is_err()
-                    .then(|| Rejection::budget_short(BUDGET_RETRY_AFTER_MS))
+    let mut no_store = None;
+    for keeper in gateway
+        .directory
+        .keepers(request.workspace, KEEPERS_TRIED_MAX)
+    {
+        let (name, answer) = match &keeper {
+            BudgetKeeper::Own => ("this router", reserve_here(gateway, request).await.into()),
+            BudgetKeeper::Peer(peer) => {
+                let request_time = deadline.saturating_duration_since(Instant::now());
+                let client = &gateway.keeper_client;
+                let answer = client.reserve(peer, request.workspace, request.tokens, request_time);
+                (&*peer.name, answer.await)
             }
-            Err(rejection) => Some(rejection),
         };
-        let Some(rejection) = rejection else {
-            continue;
-        };
-        // Not enough tokens for all waiting requests can be drawn in time. This request may
-        // therefore use tokens that were kept for the others, if the router holds enough.
-        return match waiter.reserve(Instant::now()) {
-            Ok(reservation) => Ok(Some(reservation)),
-            Err(_) => Err(rejection),
+        let error = match answer {
+            KeeperAnswer::Reserved(reservation) => return Ok(Some(reservation)),
+            KeeperAnswer::Failed(error) => error,
+            KeeperAnswer::Unavailable => continue,
         };
+        if let Some(held_tokens) = error.held_tokens() {
+            log.set_detail(&format!("{held_tokens} tokens held by {name}"));
+        }
+        match error {
+            // Another router may reach the store.
+            ReserveError::NoStore { .. } => no_store = Some(error),
+            error => return Err(budget_rejection(error)),
+        }
+    }
+    if let Some(error) = no_store {
+        return Err(budget_rejection(error));
+    }
+    // No router that keeps the budget answers.
+    match reserve_here(gateway, request).await {
+        Ok(reservation) => Ok(Some(reservation)),
+        Err(error) => Err(budget_rejection(error)),
     }
 }
 
-/// Rejects a request whose tokens can't be drawn within [`DRAW_WAIT_MAX`].
-fn admit_wait(
+/// Reserves tokens that this router holds or draws.
+async fn reserve_here(
     gateway: &Gateway,
-    workspace: &Workspace,
-    prepaid: u64,
-    tokens: TokenCount,
-    available: u64,
-) -> Result<(), Rejection> {
-    // Other requests may have spent the rest of the budget since this one was admitted.
-    admit_budget(gateway, Some(workspace), Some(tokens))?;
-    let undrawn = gateway.draw_task.ledger().undrawn(&workspace.id, prepaid);
-    if undrawn.is_some_and(|undrawn| available.saturating_add(undrawn) < tokens.max_cost()) {
-        return Err(Rejection::budget_short(BUDGET_RETRY_AFTER_MS));
+    request: TokenRequest<'_>,
+) -> Result<Reservation, ReserveError> {
+    if let Ok(reservation) = reserve_held(&gateway.draw_task, request) {
+        return Ok(reservation);
     }
-    match gateway.draw_task.expected_wait() {
-        None => Err(Rejection::budget_short(STORE_OUTAGE_RETRY_AFTER_MS)),
-        Some(wait) if wait > DRAW_WAIT_MAX => Err(Rejection::budget_short(
-            BUDGET_RETRY_AFTER_MS + millis(wait),
-        )),
-        Some(_) => Ok(()),
+    reserve_drawn(&gateway.draw_task, request).await
+}
+
+/// Returns the tokens that a request needs; `None` if it has no prepaid budget.
+fn token_request(
+    workspace: Option<&Workspace>,
+    tokens: Option<TokenCount>,
+) -> Option<TokenRequest<'_>> {
+    let workspace = workspace?;
+    Some(TokenRequest {
+        workspace: &workspace.id,
+        prepaid: workspace.prepaid?,
+        tokens: tokens?.max_cost(),
+    })
+}
+
+fn budget_rejection(error: ReserveError) -> Rejection {
+    match error.retry_after_ms() {
+        Some(retry_after_ms) => Rejection::budget_short(retry_after_ms),
+        None => Rejection::new(StatusCode::PAYMENT_REQUIRED, Reason::BudgetSpent),
     }
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -67,7 +67,14 @@
     admit_budget(&gateway, workspace.as_deref(), caller_request.tokens)?;
     let times = request_times(&route, &caller_request, deadline);
     admit_load(&gateway, &service, times, log)?;
-    let reservation = reserve(&gateway, workspace.as_deref(), caller_request.tokens, log).await?;
+    let reservation = reserve(
+        &gateway,
+        workspace.as_deref(),
+        caller_request.tokens,
+        deadline,
+        log,
+    )
+    .await?;
     gateway.count_request(&service);
     let outgoing_request =
         build_outgoing_request(head, body, &caller_request, workspace.as_deref(), deadline);
--- a/crates/gateway/src/version/configuration.rs
+++ b/crates/gateway/src/version/configuration.rs
@@ -92,6 +92,7 @@
     /// The routes of each virtual host, with the longest path prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     workspaces_by_key: HashMap<Arc<str>, Arc<Workspace>>,
+    workspaces_by_id: HashMap<WorkspaceId, Arc<Workspace>>,
     route_count: usize,
 }
 
@@ -123,6 +124,8 @@
             self.workspaces_by_key
                 .insert(Arc::clone(key), Arc::clone(&workspace));
         }
+        self.workspaces_by_id
+            .insert(workspace.id.clone(), Arc::clone(&workspace));
         self.workspaces.push(workspace);
     }
 
@@ -139,6 +142,11 @@
         self.workspaces_by_key.get(api_key)
     }
 
+    /// Returns a workspace by its name.
+    pub fn workspace_by_id(&self, id: &WorkspaceId) -> Option<&Arc<Workspace>> {
+        self.workspaces_by_id.get(id)
+    }
+
     /// Returns whether there are workspaces; if so, requests need an API key on routes that are not
     /// public.
     pub fn has_workspaces(&self) -> bool {
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -149,8 +149,12 @@
     Leave, Members, MembersChange, MembersCheckpoint, MembersRecord, confirmed_hash,
 };
 pub use membership::reclaim::{KeeperReclaim, MissingProof, RouterReclaim, SliceProof};
+pub use peer::dialer::Dialer;
 pub use peer::link::{Call, Endpoint, Link, LinkSettings, Responder};
+pub use peer::link_tasks::accept_links;
 pub use peer::silence_detector::{SilenceDetector, SilenceSettings};
+pub use peer::wire::{FrameBody, Heartbeat, Hello};
+pub use peer::wire_budget::{ReserveAnswerKind, ReserveReply, ReserveTokens, SettleTokens};
 pub use process::admin::{AdminHooks, serve_admin, serve_metrics};
 pub use process::admin_client::{AdminClient, find_admin};
 pub use process::daemon::{DaemonOptions, run_daemon};
--- a/crates/mallowpath/src/peer/link_tasks.rs
+++ b/crates/mallowpath/src/peer/link_tasks.rs
@@ -68,7 +68,7 @@
 }
 
 /// Accepts connections until the process ends and runs `watch` with each of them.
-pub(crate) async fn accept_links<F>(
+pub async fn accept_links<F>(
     listener: TcpListener,
     endpoint: Endpoint,
     watch: impl Fn(Arc<Link>) -> F + Clone + Send + 'static,
--- a/crates/mallowpath/src/peer/wire.rs
+++ b/crates/mallowpath/src/peer/wire.rs
@@ -13,7 +13,8 @@
 pub use crate::{
     peer::wire_budget::{
         BillsLogged, FenceReply, GrantTokens, KeepBills, KeepersClosed, KeepersReport,
-        ReportKeepers, SliceAnswerKind, SliceMessage, SliceReply, SliceRequest, SliceReturn,
+        ReportKeepers, ReserveReply, ReserveTokens, SettleTokens, SliceAnswerKind, SliceMessage,
+        SliceReply, SliceRequest, SliceReturn,
     },
     peer::wire_run::{
         AnswerChunk, AnswerEnd, AnswerHead, Attach, Order, OrderOutcome, OrderReply, Refused,
@@ -30,7 +31,7 @@
     /// The message.
     #[prost(
         oneof = "FrameBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42, 50, 51, 52"
     )]
     pub body: Option<FrameBody>,
 }
@@ -123,6 +124,15 @@
     /// Router to router: these keepers have no open grants left.
     #[prost(message, tag = "42")]
     KeepersClosed(KeepersClosed),
+    /// Router to the router that keeps a budget: reserve tokens for a request.
+    #[prost(message, tag = "50")]
+    ReserveTokens(ReserveTokens),
+    /// The answer to [`ReserveTokens`]; several may follow one another.
+    #[prost(message, tag = "51")]
+    ReserveReply(ReserveReply),
+    /// Router to the router that keeps a budget: a reservation has ended.
+    #[prost(message, tag = "52")]
+    SettleTokens(SettleTokens),
 }
 
 /// Identifies a process to its peer.
--- a/crates/mallowpath/src/peer/wire_budget.rs
+++ b/crates/mallowpath/src/peer/wire_budget.rs
@@ -1,4 +1,4 @@
-//! Messages about slices of budgets, bills and the reclaim of grants.
+//! Messages about slices and reservations of budgets, bills and the reclaim of grants.
 
 use crate::{peer::wire_run::SlicePart, stream::record_id::RecordId};
 
@@ -162,3 +162,70 @@
     #[prost(fixed64, repeated, tag = "1")]
     pub keepers: Vec<u64>,
 }
+
+/// Reserves the most tokens that a request can cost.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ReserveTokens {
+    /// The incarnation of the router that serves the request.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+    /// Number of the reservation among those of the router.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The workspace whose budget pays; empty to ask only whether the receiver answers.
+    #[prost(string, tag = "3")]
+    pub workspace: String,
+    /// Number of tokens.
+    #[prost(uint64, tag = "4")]
+    pub tokens: u64,
+    /// Time after which an unsettled reservation counts as spent, in milliseconds.
+    #[prost(uint64, tag = "5")]
+    pub expires_after_ms: u64,
+}
+
+/// An answer to [`ReserveTokens`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct ReserveReply {
+    /// The kind of the answer.
+    #[prost(enumeration = "ReserveAnswerKind", tag = "1")]
+    pub kind: i32,
+    /// Delay after which the request is worth repeating, in milliseconds, if `kind` is
+    /// [`ReserveAnswerKind::Short`].
+    #[prost(uint64, tag = "2")]
+    pub retry_after_ms: u64,
+    /// Tokens that the receiver holds and that are neither spent nor reserved, if there are too few.
+    #[prost(uint64, tag = "3")]
+    pub held_tokens: u64,
+}
+
+/// The outcome of a [`ReserveTokens`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum ReserveAnswerKind {
+    /// The receiver doesn't keep budgets at present.
+    Unavailable = 0,
+    /// The tokens are reserved.
+    Granted = 1,
+    /// The receiver draws tokens; another answer follows.
+    Pending = 2,
+    /// There are too few tokens at present.
+    Short = 3,
+    /// The rest of the budget does not cover the request.
+    Spent = 4,
+    /// There are too few tokens at present, and the receiver can't reach the ledger to draw more.
+    NoLedger = 5,
+}
+
+/// Ends a reservation.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct SettleTokens {
+    /// The incarnation of the router that serves the request.
+    #[prost(fixed64, tag = "1")]
+    pub router: u64,
+    /// Number of the reservation among those of the router.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Number of tokens spent.
+    #[prost(uint64, tag = "3")]
+    pub spent_tokens: u64,
+}
