--- a/crates/mallowpath/src/peer/link.rs
+++ b/crates/mallowpath/src/peer/link.rs
@@ -358,9 +358,10 @@
 impl Responder {
     /// Queues a message of the answer and returns whether it was queued.
     ///
-    /// Returns `false` if the peer has cancelled the call or the connection is closed.
+    /// Returns `false` if the peer has cancelled the call, the connection is closed, or the message
+    /// expects no answer.
     pub async fn send(&self, body: FrameBody) -> bool {
-        if self.cancelled.is_cancelled() {
+        if self.id == 0 || self.cancelled.is_cancelled() {
             return false;
         }
         self.link.send(self.id, body).await
