--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -52,7 +52,10 @@
     reservation: Option<Reservation>,
     settings: StreamSettings,
     deadline: Instant,
-    /// When the source ran out of data; `None` while it has data.
+    /// When the source ran out of complete events; `None` while it has some.
+    ///
+    /// Parts of an event don't end the wait, so that a server that sends a byte now and then counts
+    /// as silent.
     waiting_since: Option<Instant>,
     /// Expires at the deadline or at the next check for silence, whichever comes first.
     timer: Pin<Box<Sleep>>,
@@ -124,7 +127,9 @@
         loop {
             let step = match self.poll_source(cx) {
                 Poll::Ready(step) => {
-                    self.waiting_since = None;
+                    if !matches!(step, Step::Again) {
+                        self.waiting_since = None;
+                    }
                     step
                 }
                 Poll::Pending => {
@@ -282,6 +287,7 @@
             return self.break_off(Reason::StreamBroken, "no backend server resumed the stream");
         };
         self.source = Source::Open(Box::new(OpenStream::new(started)));
+        self.waiting_since = None;
         Step::Again
     }
 
--- /dev/null
+++ b/crates/gateway/tests/drain.rs
@@ -0,0 +1,82 @@
+//! A planned shutdown under load: every request that was accepted gets its answer.
+
+mod common;
+
+use common::{
+    gateway::{KEY, TestGateway, read_answer, send},
+    server::{ScriptStep, ScriptedServer, success},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+/// Sends requests on one connection until it is closed between two answers; returns how many were
+/// answered.
+///
+/// # Panics
+///
+/// Panics if the connection ends within an answer.
+async fn call_until_closed(mut stream: TcpStream) -> u32 {
+    let mut answered = 0;
+    loop {
+        let request = format!(
+            "POST /once/ HTTP/1.1\r\nhost: h\r\nx-attempt: a1\r\nx-key: {KEY}\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        if stream.write_all(request.as_bytes()).await.is_err() {
+            return answered;
+        }
+        let mut bytes = Vec::new();
+        while !bytes.ends_with(b"hello") {
+            let mut buffer = [0; 1_024];
+            let count = stream.read(&mut buffer).await.unwrap_or(0);
+            if count == 0 {
+                assert!(bytes.is_empty(), "an answer was cut off");
+                return answered;
+            }
+            bytes.extend_from_slice(&buffer[..count]);
+        }
+        answered += 1;
+        if String::from_utf8_lossy(&bytes)
+            .to_lowercase()
+            .contains("connection: close")
+        {
+            return answered;
+        }
+    }
+}
+
+#[tokio::test]
+async fn drain_under_load_cuts_no_request() {
+    let server = ScriptedServer::start(vec![ScriptStep::Wait(40), success("hello")]).await;
+    let test = Arc::new(TestGateway::start(&[server.address]).await);
+    let mut kept = Vec::new();
+    for _ in 0..20 {
+        kept.push(tokio::spawn(call_until_closed(test.connect().await)));
+    }
+    sleep(Duration::from_millis(150)).await;
+    test.gateway.drain();
+    // New connections are accepted until the load balancer has noticed.
+    let mut new = Vec::new();
+    for _ in 0..15 {
+        let mut stream = test.connect().await;
+        send(&mut stream, "/once/", "").await;
+        new.push(tokio::spawn(read_answer(stream)));
+        sleep(Duration::from_millis(10)).await;
+    }
+    for call in new {
+        assert_eq!(call.await.unwrap().status, 200);
+    }
+    let mut answered = 0;
+    for calls in kept {
+        let calls = timeout(Duration::from_secs(3), calls).await;
+        answered += calls.expect("the connection ends").unwrap();
+    }
+    assert!(answered >= 20, "{answered}");
+    test.gateway.wait_until_drained().await;
+    // An answer each, and nothing that ran without one.
+    assert_eq!(server.count(), usize::try_from(answered).unwrap() + 15);
+}
