Size grants by the routers that hold a budget, and keep none before the others are known

Cause: a draw took at most the undrawn rest divided by all accounts, and refills were spaced by all accounts, though one router keeps each budget; at the start every router drew a floor of every budget before it knew the others, so each of 68 had an account for good. Ruled out: one interval for all sites (the append rate of the store binds it). Change: shares, floors and the interval count routers that hold tokens; a router keeps no budget until it has read the registrations.

--- a/crates/gateway/src/budget/draw_plan.rs
+++ b/crates/gateway/src/budget/draw_plan.rs
@@ -62,14 +62,14 @@
 ) -> Option<Account> {
     let mut account = base.clone();
     let mut changed = false;
-    let router_count = ledger.len().max(1) as f64;
     for holding in holdings {
         let current = base.lines.get(&holding.workspace).copied();
         let current = current.unwrap_or_default();
         let undrawn = holding
             .prepaid
             .saturating_sub(ledger.spent_or_held(&holding.workspace));
-        let granted = next_grant(holding, undrawn, router_count, settings);
+        let holders = ledger.holders_of(&holding.workspace).max(1) as f64;
+        let granted = next_grant(holding, undrawn, holders, settings);
         // Compares with the ledger, not with the local budgets, which differ from it after an
         // append whose answer was lost.
         changed |= granted != current.granted;
@@ -84,18 +84,19 @@
     changed.then_some(account)
 }
 
-/// Returns the router's next grant in total; `undrawn` tokens of the budget are free to draw.
-fn next_grant(holding: &Holding, undrawn: u64, router_count: f64, settings: &DrawSettings) -> u64 {
+/// Returns the router's next grant in total; `undrawn` tokens of the budget are free to draw, and
+/// `holders` routers hold tokens of it.
+fn next_grant(holding: &Holding, undrawn: u64, holders: f64, settings: &DrawSettings) -> u64 {
     let in_use = holding.spent.saturating_add(holding.reserved);
     let available = holding.granted.saturating_sub(in_use);
-    let target = target_tokens(holding, undrawn, router_count, settings);
+    let target = target_tokens(holding, undrawn, holders, settings);
     let refill_below = scaled(target, settings.refill_below_share).max(holding.shortage_tokens);
     let full = target.max(holding.shortage_tokens);
     if available < refill_below {
         let missing = full.saturating_sub(available);
-        // Concurrent draws of all routers fit into the budget if each takes no more than its share.
+        // Concurrent draws of all holders fit into the budget if each takes no more than its share.
         // A draw that exceeds its share because requests want more may have to be returned.
-        let share = scaled(undrawn, 1.0 / router_count.max(2.0)).max(holding.shortage_tokens);
+        let share = scaled(undrawn, 1.0 / holders.max(2.0)).max(holding.shortage_tokens);
         return holding.granted + missing.min(share).min(undrawn);
     }
     let excess = available.saturating_sub(full);
@@ -107,17 +108,12 @@
 }
 
 /// Returns the tokens that the router should have available while no request waits for tokens.
-fn target_tokens(
-    holding: &Holding,
-    undrawn: u64,
-    router_count: f64,
-    settings: &DrawSettings,
-) -> u64 {
+fn target_tokens(holding: &Holding, undrawn: u64, holders: f64, settings: &DrawSettings) -> u64 {
     if !holding.is_kept {
         return 0;
     }
     let for_demand = scaled(1, holding.tokens_per_s * settings.horizon_s);
-    let floor = scaled(undrawn, settings.floor_share / router_count);
+    let floor = scaled(undrawn, settings.floor_share / holders);
     for_demand.max(floor)
 }
 
--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -312,10 +312,9 @@
     /// Returns the mean interval between two refills of this router, which keeps the appends of all
     /// routers together below the capacity of the store.
     fn refill_interval(&self) -> Duration {
-        let router_count = self.ledger.router_count();
-        let router_count = u64::try_from(router_count).unwrap_or(u64::MAX);
+        let holder_count = u64::try_from(self.ledger.holder_count()).unwrap_or(u64::MAX);
         Duration::from_millis(
-            DRAW_INTERVAL_MIN_MS.max(router_count.saturating_mul(FLEET_DRAW_INTERVAL_MS)),
+            DRAW_INTERVAL_MIN_MS.max(holder_count.saturating_mul(FLEET_DRAW_INTERVAL_MS)),
         )
     }
 
--- a/crates/gateway/src/budget/ledger.rs
+++ b/crates/gateway/src/budget/ledger.rs
@@ -129,6 +129,23 @@
         self.accounts.get(router)
     }
 
+    /// Returns the number of routers that hold tokens of any budget.
+    pub fn holder_count(&self) -> usize {
+        let holders = self.accounts.values();
+        holders
+            .filter(|account| account.lines.values().any(AccountLine::holds_tokens))
+            .count()
+    }
+
+    /// Returns the number of routers that hold tokens of the budget.
+    pub fn holders_of(&self, workspace: &WorkspaceId) -> usize {
+        let lines = self
+            .accounts
+            .values()
+            .filter_map(|account| account.lines.get(workspace));
+        lines.filter(|line| line.holds_tokens()).count()
+    }
+
     /// Returns the number of accounts.
     pub fn len(&self) -> usize {
         self.accounts.len()
@@ -176,6 +193,11 @@
 }
 
 impl AccountLine {
+    /// Returns whether tokens are granted that were not spent when the record was appended.
+    fn holds_tokens(&self) -> bool {
+        self.granted > self.spent
+    }
+
     /// Returns the tokens that the router and its earlier incarnations may have spent.
     fn total(&self) -> u64 {
         self.spent_before.saturating_add(self.granted)
--- a/crates/gateway/src/budget/ledger_view.rs
+++ b/crates/gateway/src/budget/ledger_view.rs
@@ -59,9 +59,9 @@
         self.last_read.age_ms()
     }
 
-    /// Returns the number of routers with an account; 1 before the first read.
-    pub(crate) fn router_count(&self) -> usize {
-        self.lock().as_ref().map_or(1, AccountLedger::len)
+    /// Returns the number of routers that hold tokens; 0 before the first read.
+    pub(super) fn holder_count(&self) -> usize {
+        self.lock().as_ref().map_or(0, AccountLedger::holder_count)
     }
 
     /// Returns the tokens of a budget that no router has drawn; `None` unless the ledger is fresh.
--- a/crates/gateway/src/process/router_directory.rs
+++ b/crates/gateway/src/process/router_directory.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 struct State {
     routers: BTreeMap<Arc<str>, RouterEntry>,
+    /// Whether the other routers are known, as far as they have registered.
+    is_loaded: bool,
     /// Whether this router keeps budgets; not so during its shutdown.
     keeps_budgets: bool,
 }
@@ -57,6 +59,7 @@
             own_name,
             state: Mutex::new(State {
                 routers: BTreeMap::new(),
+                is_loaded: false,
                 keeps_budgets: true,
             }),
         }
@@ -90,6 +93,11 @@
         is_change
     }
 
+    /// Records that all registrations so far were inserted.
+    pub fn set_loaded(&self) {
+        self.lock().is_loaded = true;
+    }
+
     /// Makes this router keep no budgets any more.
     pub fn stop_keeping(&self) {
         self.lock().keeps_budgets = false;
@@ -115,9 +123,11 @@
         unreachable.count()
     }
 
-    /// Returns whether this router keeps the budget of a workspace.
+    /// Returns whether this router keeps the budget of a workspace; not so while it does not know
+    /// the others.
     pub fn is_keeper(&self, workspace: &WorkspaceId) -> bool {
-        self.keepers(workspace, 1).first() == Some(&BudgetKeeper::Own)
+        let is_loaded = self.lock().is_loaded;
+        is_loaded && self.keepers(workspace, 1).first() == Some(&BudgetKeeper::Own)
     }
 
     /// Returns the router that keeps the budget of a workspace, followed by those that replace it,
--- a/crates/gateway/src/process/watch_routers.rs
+++ b/crates/gateway/src/process/watch_routers.rs
@@ -47,6 +47,7 @@
                 Err(error) => log::warn!(target: "router", "ignoring a router: {error}"),
             }
         }
+        gateway.directory.set_loaded();
         let own = Arc::clone(&gateway.settings.account);
         let routers = gateway.directory.names();
         gateway.backends.set_routers(own, routers);
