--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -5,6 +5,7 @@
     ledger::Account,
     ledger_view::{LedgerView, back_off},
     local_budgets::LocalBudgets,
+    writer_state::WriterState,
 };
 use crate::{
     process::{AppendId, AppendOutcome, Store, StoreRecord, Topic, log_event},
@@ -21,13 +22,10 @@
     },
     time::{Duration, Instant},
 };
-use tokio::time::{sleep, timeout};
-
-/// The interval at which holdings are reviewed while none runs low.
-const REVIEW_INTERVAL_MS: u64 = 250;
+use tokio::time::sleep;
 
 /// The minimum interval between two draws of a router, also while requests wait for tokens.
-const DRAW_INTERVAL_MIN_MS: u64 = 80;
+pub(super) const DRAW_INTERVAL_MIN_MS: u64 = 80;
 
 /// The minimum mean interval between refills across all routers; an append takes the store 4 ms.
 const FLEET_DRAW_INTERVAL_MS: u64 = 8;
@@ -65,98 +63,6 @@
 #[derive(Clone)]
 struct KeeperCheck(Arc<dyn Fn(&WorkspaceId) -> bool + Send + Sync>);
 
-/// The state of this incarnation as a writer of the ledger.
-#[derive(Debug, Default)]
-struct WriterState {
-    epoch: u64,
-    /// The sequence number of the last append within the epoch.
-    sequence: u64,
-    /// Whether a later epoch has fenced this incarnation.
-    fenced: bool,
-    /// Whether the last append, or the last read for a shortage, failed.
-    store_failed: bool,
-    /// When the draw in progress began.
-    draw_started_at: Option<Instant>,
-    /// The moving average of draw durations.
-    draw_duration_s: f64,
-    /// The number of restores of the store after which the account was appended again.
-    restores_handled: u64,
-    /// The number of restores of the store that were noticed.
-    restores_seen: u64,
-    /// Until when no tokens are drawn, as other routers append their accounts again.
-    raises_held_until: Option<Instant>,
-}
-
-impl WriterState {
-    /// Starts a new epoch, as the store may have forgotten the last appends of this one, and holds
-    /// back raises until other routers had time to append their accounts again.
-    fn begin_after_restore(&mut self, restores: u64, raise_hold: Duration) {
-        self.restores_seen = restores;
-        self.epoch += 1;
-        self.sequence = 0;
-        self.raises_held_until = Some(Instant::now() + raise_hold);
-    }
-
-    fn raises_are_held(&self) -> bool {
-        self.raises_held_until
-            .is_some_and(|until| Instant::now() < until)
-    }
-}
-
-/// Draws and returns tokens of the budgets in the current configuration until `is_closing` returns true.
-pub(crate) async fn run_draws(
-    task: Arc<DrawTask>,
-    configuration: impl Fn() -> Option<Arc<Configuration>>,
-    is_closing: impl Fn() -> bool,
-) {
-    task.load_ledger().await;
-    let mut next_refill = Instant::now();
-    while !is_closing() {
-        let review = Duration::from_millis(REVIEW_INTERVAL_MS);
-        // Holdings are reviewed after a timeout as well, so that excess tokens are returned.
-        let _ = timeout(review, task.local_budgets.wait_until_refill_needed()).await;
-        let Some(configuration) = configuration() else {
-            continue;
-        };
-        // Requests that lack tokens don't wait for the interval between refills.
-        if !task.local_budgets.has_unmet_demand() && Instant::now() < next_refill {
-            continue;
-        }
-        if task.draw_once(&configuration).await {
-            let interval = task
-                .refill_interval()
-                .mul_f64(rand::random_range(0.75..1.25));
-            next_refill = Instant::now() + interval;
-            sleep(Duration::from_millis(DRAW_INTERVAL_MIN_MS)).await;
-        }
-    }
-}
-
-/// Returns all tokens that are neither spent nor reserved to the ledger, giving up at `until`.
-pub(crate) async fn return_unspent(task: &DrawTask, configuration: &Configuration, until: Instant) {
-    let without_demand = |holding: &mut Holding| {
-        holding.tokens_per_s = 0.0;
-        holding.shortage_tokens = 0;
-    };
-    let settings = DrawSettings {
-        floor_share: 0.0,
-        return_above_factor: 0.0,
-        return_min_share: 0.0,
-        ..task.settings.clone()
-    };
-    let return_draw = task.draw(configuration, without_demand, &settings);
-    if tokio::time::timeout_at(until.into(), return_draw)
-        .await
-        .is_err()
-    {
-        log::warn!(
-            target: "budget",
-            "returning unspent tokens timed out; \
-             those that the ledger still shows as granted count as spent"
-        );
-    }
-}
-
 /// The log line of an applied draw or return.
 #[derive(Debug, Serialize)]
 struct DrawLine {
@@ -206,6 +112,10 @@
         self
     }
 
+    pub(super) fn settings(&self) -> &DrawSettings {
+        &self.settings
+    }
+
     /// Returns the tokens that this router holds.
     pub(super) fn local_budgets(&self) -> &Arc<LocalBudgets> {
         &self.local_budgets
@@ -311,7 +221,7 @@
 
     /// Returns the mean interval between two refills of this router, which keeps the appends of all
     /// routers together below the capacity of the store.
-    fn refill_interval(&self) -> Duration {
+    pub(super) fn refill_interval(&self) -> Duration {
         let holder_count = u64::try_from(self.ledger.holder_count()).unwrap_or(u64::MAX);
         Duration::from_millis(
             DRAW_INTERVAL_MIN_MS.max(holder_count.saturating_mul(FLEET_DRAW_INTERVAL_MS)),
@@ -322,7 +232,7 @@
     /// measures how long that takes.
     ///
     /// Returns whether the store was called.
-    async fn draw(
+    pub(super) async fn draw(
         &self,
         configuration: &Configuration,
         change: impl Fn(&mut Holding),
--- a/crates/gateway/src/budget/mod.rs
+++ b/crates/gateway/src/budget/mod.rs
@@ -1,6 +1,7 @@
 //! Prepaid budgets: the ledger of all routers' tokens, this router's local budgets and draws, and
 //! reservations at the routers that keep the budgets.
 
+mod draw_loop;
 mod draw_plan;
 mod draw_task;
 mod keeper_client;
@@ -11,10 +12,11 @@
 mod remote_reservations;
 mod reservation;
 mod reserve;
+mod writer_state;
 
+pub(crate) use draw_loop::{return_unspent, run_draws};
 pub use draw_plan::{DrawSettings, Holding, plan_account};
 pub use draw_task::DrawTask;
-pub(crate) use draw_task::{return_unspent, run_draws};
 pub use keeper_client::KeeperClient;
 pub(crate) use keeper_client::{KeeperAnswer, endpoint};
 pub(crate) use keeper_server::{handle_peer_message, run_expiry};
--- /dev/null
+++ b/crates/gateway/src/budget/writer_state.rs
@@ -0,0 +1,41 @@
+//! The state of this process as a writer of the ledger.
+
+use std::time::{Duration, Instant};
+
+/// The state of this incarnation as a writer of the ledger.
+#[derive(Debug, Default)]
+pub(super) struct WriterState {
+    pub(super) epoch: u64,
+    /// The sequence number of the last append within the epoch.
+    pub(super) sequence: u64,
+    /// Whether a later epoch has fenced this incarnation.
+    pub(super) fenced: bool,
+    /// Whether the last append, or the last read for a shortage, failed.
+    pub(super) store_failed: bool,
+    /// When the draw in progress began.
+    pub(super) draw_started_at: Option<Instant>,
+    /// The moving average of draw durations.
+    pub(super) draw_duration_s: f64,
+    /// The number of restores of the store after which the account was appended again.
+    pub(super) restores_handled: u64,
+    /// The number of restores of the store that were noticed.
+    pub(super) restores_seen: u64,
+    /// Until when no tokens are drawn, as other routers append their accounts again.
+    pub(super) raises_held_until: Option<Instant>,
+}
+
+impl WriterState {
+    /// Starts a new epoch, as the store may have forgotten the last appends of this one, and holds
+    /// back raises until other routers had time to append their accounts again.
+    pub(super) fn begin_after_restore(&mut self, restores: u64, raise_hold: Duration) {
+        self.restores_seen = restores;
+        self.epoch += 1;
+        self.sequence = 0;
+        self.raises_held_until = Some(Instant::now() + raise_hold);
+    }
+
+    pub(super) fn raises_are_held(&self) -> bool {
+        self.raises_held_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+}
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -4,19 +4,14 @@
 
 use common::{
     gateway::{PREPAID, TestGateway, WORKSPACE, send},
+    router::{TestRouter, configuration},
     server::{ScriptStep, ScriptedServer, success},
     store::FakeStore,
 };
 use futures_util::FutureExt;
-use mallowpath_gateway::{
-    Account, AccountLine, Configuration, DrawSettings, DrawTask, LocalBudgets, Reservation,
-    StoreEra, Topic, Workspace,
-};
+use mallowpath_gateway::{Account, AccountLine, Configuration, StoreEra, Topic};
 use proptest::prelude::*;
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
 const TOKENS: &str = "x-tokens: 1000 30\r\n";
@@ -156,72 +151,6 @@
     test.gateway.holding(&workspace, PREPAID)
 }
 
-/// A router reduced to its draw task and local budgets.
-struct TestRouter {
-    task: DrawTask,
-    local_budgets: Arc<LocalBudgets>,
-    reservations: Vec<Reservation>,
-    spent: u64,
-}
-
-impl TestRouter {
-    async fn start(store: &FakeStore, name: &str) -> Self {
-        let local_budgets = LocalBudgets::new();
-        let settings = DrawSettings {
-            floor_share: 0.2,
-            ..DrawSettings::default()
-        };
-        let task = DrawTask::new(
-            store.interface(),
-            Arc::from(name),
-            Arc::clone(&local_budgets),
-            settings,
-        );
-        task.load_ledger().await;
-        Self {
-            task,
-            local_budgets,
-            reservations: Vec::new(),
-            spent: 0,
-        }
-    }
-
-    /// Reserves tokens and releases them at once; returns whether enough were available.
-    fn can_reserve(&self, tokens: u64) -> bool {
-        let workspace = WORKSPACE.parse().unwrap();
-        let reserved = self
-            .local_budgets
-            .reserve(&workspace, tokens, Instant::now());
-        reserved.is_ok()
-    }
-
-    /// Spends tokens; returns whether enough were available.
-    fn spend(&mut self, tokens: u64) -> bool {
-        let workspace = WORKSPACE.parse().unwrap();
-        let now = Instant::now();
-        self.local_budgets.count_demand(&workspace, tokens, now);
-        match self.local_budgets.reserve(&workspace, tokens, now) {
-            Ok(mut reservation) => {
-                reservation.mark_all_spent();
-                self.reservations.push(reservation);
-                self.spent += tokens;
-                true
-            }
-            Err(_) => false,
-        }
-    }
-}
-
-fn configuration() -> Configuration {
-    let mut configuration = Configuration::new(1);
-    let workspace = Workspace {
-        id: WORKSPACE.parse().unwrap(),
-        prepaid: Some(PREPAID),
-    };
-    configuration.add_workspace(workspace, &[]);
-    configuration
-}
-
 /// An event at one of the routers.
 #[derive(Debug, Clone, Copy)]
 enum Event {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -4,5 +4,6 @@
 
 pub mod clock;
 pub mod gateway;
+pub mod router;
 pub mod server;
 pub mod store;
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -5,13 +5,13 @@
 
 use common::{
     gateway::{PREPAID, TestGateway, WORKSPACE},
+    router::{RAISE_HOLD_MS, TestRouter, configuration},
     server::{ScriptedServer, success},
     store::FakeStore,
 };
 use mallowpath::WorkspaceId;
 use mallowpath_gateway::{
-    Account, AccountLedger, AccountLine, Configuration, DrawSettings, DrawTask, EraChange,
-    EraTracker, LocalBudgets, Reservation, StoreEra, Topic, Workspace,
+    Account, AccountLedger, AccountLine, EraChange, EraTracker, StoreEra, Topic,
 };
 use proptest::prelude::*;
 use std::{
@@ -200,58 +200,6 @@
     assert_eq!(ledger.spent_or_held(&workspace()), 300);
 }
 
-/// A router reduced to its draw task and local budgets.
-struct TestRouter {
-    task: DrawTask,
-    local_budgets: Arc<LocalBudgets>,
-    reservations: Vec<Reservation>,
-    spent: u64,
-}
-
-impl TestRouter {
-    async fn start(store: &FakeStore, index: usize) -> Self {
-        let local_budgets = LocalBudgets::new();
-        let settings = DrawSettings {
-            floor_share: 0.2,
-            raise_hold_ms: 40,
-            ..DrawSettings::default()
-        };
-        let task = DrawTask::new(
-            store.interface(),
-            Arc::from(format!("r{index}")),
-            Arc::clone(&local_budgets),
-            settings,
-        );
-        task.load_ledger().await;
-        Self {
-            task,
-            local_budgets,
-            reservations: Vec::new(),
-            spent: 0,
-        }
-    }
-
-    fn spend(&mut self, tokens: u64) {
-        let now = Instant::now();
-        self.local_budgets.count_demand(&workspace(), tokens, now);
-        if let Ok(mut reservation) = self.local_budgets.reserve(&workspace(), tokens, now) {
-            reservation.mark_all_spent();
-            self.reservations.push(reservation);
-            self.spent += tokens;
-        }
-    }
-}
-
-fn configuration() -> Configuration {
-    let mut configuration = Configuration::new(1);
-    let workspace = Workspace {
-        id: workspace(),
-        prepaid: Some(PREPAID),
-    };
-    configuration.add_workspace(workspace, &[]);
-    configuration
-}
-
 #[derive(Debug, Clone, Copy)]
 enum Event {
     Spend(u64),
@@ -284,18 +232,18 @@
     let configuration = configuration();
     let mut routers = Vec::new();
     for index in 0..3 {
-        routers.push(TestRouter::start(&store, index).await);
+        routers.push(TestRouter::start(&store, &format!("r{index}")).await);
     }
     store.copy();
     let mut spent_by_killed = 0;
     for (position, (index, event)) in events.iter().enumerate() {
         match event {
-            Event::Spend(tokens) => routers[*index].spend(*tokens),
+            Event::Spend(tokens) => drop(routers[*index].spend(*tokens)),
             Event::Draw => drop(routers[*index].task.draw_once(&configuration).await),
             Event::Kill if is_lost(&events[position..]) => {}
             Event::Kill => {
                 spent_by_killed += routers[*index].spent;
-                routers[*index] = TestRouter::start(&store, *index).await;
+                routers[*index] = TestRouter::start(&store, &format!("r{index}")).await;
             }
             Event::Copy => store.copy(),
             Event::Restore => {
@@ -311,7 +259,7 @@
                     router.spend(700);
                 }
                 routers.rotate_right(*index);
-                sleep(Duration::from_millis(50)).await;
+                sleep(Duration::from_millis(RAISE_HOLD_MS + 10)).await;
             }
         }
     }
