Tell callers that nobody can serve to come back late; the store's era is a generation

Ruled out: routers that wait for tokens or connections (refusals after 2 to 245 ms). Names: StoreEra is StoreGeneration, the field's term for it.

--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -2,7 +2,7 @@
 
 use super::{
     draw_plan::{DrawSettings, Holding, plan_account},
-    ledger::Account,
+    ledger::{Account, AccountLedger},
     ledger_view::{LedgerView, back_off},
     local_budgets::LocalBudgets,
     writer_state::WriterState,
@@ -335,16 +335,8 @@
         };
         let ledger = self.ledger.lock();
         let ledger = ledger.as_ref()?;
-        let known = ledger.account(&self.router);
-        let is_known = known.is_some();
-        let mut base = match known {
-            Some(account) if account.incarnation == self.incarnation => account.clone(),
-            Some(account) => account.successor(epoch),
-            None => Account::default(),
-        };
-        base.epoch = epoch;
-        base.era = ledger.era();
-        base.incarnation = self.incarnation;
+        let is_known = ledger.account(&self.router).is_some();
+        let base = self.base_account(ledger, epoch);
         let planned = plan_account(ledger, &base, holdings, settings);
         let planned = match planned {
             Some(planned) if raises_are_held => Some(planned.without_raises(&base)),
@@ -360,6 +352,21 @@
         }
     }
 
+    /// Returns the router's account as of now, from which the next one is planned.
+    fn base_account(&self, ledger: &AccountLedger, epoch: u64) -> Account {
+        let account = match ledger.account(&self.router) {
+            Some(account) if account.incarnation == self.incarnation => account.clone(),
+            Some(account) => account.successor(epoch),
+            None => Account::default(),
+        };
+        Account {
+            epoch,
+            generation: ledger.generation(),
+            incarnation: self.incarnation,
+            ..account
+        }
+    }
+
     /// Reads the ledger if the store may have been restored, which shows whether it was.
     async fn read_if_restore_suspected(&self) {
         if !self.restore_suspected.swap(false, Ordering::Relaxed) {
@@ -398,9 +405,9 @@
                 value: Some(account.encode()),
             };
             match (self.store.append)(Topic::Budgets, record, append_id).await {
-                Ok(AppendOutcome::Appended { offset, era }) => {
+                Ok(AppendOutcome::Appended { offset, generation }) => {
                     self.writer().store_failed = false;
-                    if self.ledger.is_outdated(era) {
+                    if self.ledger.is_outdated(generation) {
                         // The answer to an attempt before the restore.
                         self.check_for_restore();
                         return None;
--- a/crates/gateway/src/budget/ledger.rs
+++ b/crates/gateway/src/budget/ledger.rs
@@ -11,11 +11,11 @@
 //! at the end of the topic.
 //!
 //! A store that is restored from an older copy loses the records appended since. Accounts are
-//! therefore ordered by the store's era, then by epoch and sequence, and an account that is known
+//! therefore ordered by the store's generation, then by epoch and sequence, and an account that is known
 //! is never replaced by an older one. What a lost record may have granted to a router that has not
 //! appended its account again is estimated from its demand and held back.
 
-use crate::process::StoreEra;
+use crate::process::StoreGeneration;
 use bytes::Bytes;
 use mallowpath::{Category, Error, Offset, Result, WorkspaceId};
 use prost::Message;
@@ -44,8 +44,8 @@
     pub epoch: u64,
     /// The number of the record within the epoch.
     pub sequence: u64,
-    /// The era of the store in which the record was appended.
-    pub era: StoreEra,
+    /// The generation of the store in which the record was appended.
+    pub generation: StoreGeneration,
     /// Identifies the process that appended the record.
     pub incarnation: u64,
     /// The router's part of each budget, by workspace.
@@ -57,8 +57,8 @@
 pub struct AccountLedger {
     accounts: BTreeMap<Arc<str>, Account>,
     end: Offset,
-    /// The era of the store when it was last read.
-    era: StoreEra,
+    /// The generation of the store when it was last read.
+    generation: StoreGeneration,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -70,7 +70,7 @@
     #[prost(message, repeated, tag = "3")]
     lines: Vec<LineRecord>,
     #[prost(uint64, tag = "4")]
-    era: u64,
+    generation: u64,
     #[prost(fixed64, tag = "5")]
     incarnation: u64,
 }
@@ -104,14 +104,14 @@
         self.accounts.insert(router, account);
     }
 
-    /// Sets the era of the store, which never falls.
-    pub fn set_era(&mut self, era: StoreEra) {
-        self.era = self.era.max(era);
+    /// Sets the generation of the store, which never falls.
+    pub fn set_generation(&mut self, generation: StoreGeneration) {
+        self.generation = self.generation.max(generation);
     }
 
-    /// Returns the era of the store when it was last read.
-    pub fn era(&self) -> StoreEra {
-        self.era
+    /// Returns the generation of the store when it was last read.
+    pub fn generation(&self) -> StoreGeneration {
+        self.generation
     }
 
     /// Sets the offset of the first record that has not been read.
@@ -158,11 +158,11 @@
 
     /// Returns the tokens of a budget that routers have spent or hold.
     ///
-    /// For an account of an earlier era, this includes the tokens that a lost record may have
+    /// For an account of an earlier generation, this includes the tokens that a lost record may have
     /// granted.
     pub fn spent_or_held(&self, workspace: &WorkspaceId) -> u64 {
         self.sum(workspace, |account, line| {
-            let lost = if account.era < self.era {
+            let lost = if account.generation < self.generation {
                 line.tokens_per_s.saturating_mul(LOST_TIME_S)
             } else {
                 0
@@ -206,15 +206,15 @@
 
 impl Account {
     /// Returns the position of the record among those of its router.
-    fn position(&self) -> (StoreEra, u64, u64) {
-        (self.era, self.epoch, self.sequence)
+    fn position(&self) -> (StoreGeneration, u64, u64) {
+        (self.generation, self.epoch, self.sequence)
     }
 
     /// Raises the tokens of earlier incarnations to those that an older account of the router
     /// shows.
     fn keep_spent_before(&mut self, known: &Self) {
         let is_same = known.incarnation == self.incarnation;
-        if !is_same && known.era == self.era {
+        if !is_same && known.generation == self.generation {
             // This incarnation has read the last account of the one before.
             return;
         }
@@ -288,7 +288,7 @@
             epoch: self.epoch,
             sequence: self.sequence,
             lines,
-            era: self.era.0,
+            generation: self.generation.0,
             incarnation: self.incarnation,
         };
         Bytes::from(record.encode_to_vec())
@@ -330,7 +330,7 @@
         Ok(Self {
             epoch: record.epoch,
             sequence: record.sequence,
-            era: StoreEra(record.era),
+            generation: StoreGeneration(record.generation),
             incarnation: record.incarnation,
             lines,
         })
--- a/crates/gateway/src/budget/ledger_view.rs
+++ b/crates/gateway/src/budget/ledger_view.rs
@@ -1,7 +1,9 @@
 //! This process's copy of the ledger.
 
 use super::ledger::{Account, AccountLedger};
-use crate::process::{EraChange, EraTracker, LastRead, Store, StoreEra, StorePage, Topic};
+use crate::process::{
+    GenerationChange, GenerationTracker, LastRead, Store, StoreGeneration, StorePage, Topic,
+};
 use mallowpath::{Backoff, Category, Error, Offset, Result, WorkspaceId};
 use std::{
     sync::{
@@ -33,7 +35,7 @@
     ledger: Mutex<Option<AccountLedger>>,
     last_read: LastRead,
     /// No other lock is taken while this one is held.
-    eras: Mutex<EraTracker>,
+    generations: Mutex<GenerationTracker>,
     /// How often the store was found to be restored.
     restores: AtomicU64,
 }
@@ -44,7 +46,7 @@
             store,
             ledger: Mutex::default(),
             last_read: LastRead::default(),
-            eras: Mutex::default(),
+            generations: Mutex::default(),
             restores: AtomicU64::new(0),
         }
     }
@@ -88,7 +90,7 @@
     /// Reads the newest account of each router; newer ones that are known are kept.
     pub(super) async fn reload(&self) -> Result<()> {
         let page = (self.store.newest)(Topic::Budgets).await?;
-        self.observe_era(page.era)?;
+        self.observe_generation(page.generation)?;
         let mut view = self.lock();
         apply_page(view.get_or_insert_default(), page);
         drop(view);
@@ -102,8 +104,8 @@
         let from = self.end();
         match (self.store.read)(Topic::Budgets, from, 0).await {
             Ok(page) => {
-                if self.observe_era(page.era)? == EraChange::Restored {
-                    // The offset belongs to another era than the records of the page.
+                if self.observe_generation(page.generation)? == GenerationChange::Restored {
+                    // The offset belongs to another generation than the records of the page.
                     return self.reload().await;
                 }
                 if let Some(ledger) = self.lock().as_mut() {
@@ -117,30 +119,33 @@
         }
     }
 
-    /// Records the era of the answer to an append; returns whether the answer is older than a
+    /// Records the generation of the answer to an append; returns whether the answer is older than a
     /// restore of the store.
-    pub(super) fn is_outdated(&self, era: Option<StoreEra>) -> bool {
-        self.observe_era(era).is_err()
+    pub(super) fn is_outdated(&self, generation: Option<StoreGeneration>) -> bool {
+        self.observe_generation(generation).is_err()
     }
 
-    /// Records the era of an answer.
+    /// Records the generation of an answer.
     ///
     /// # Errors
     ///
     /// Fails with [`Category::Refused`] if the answer is older than a restore of the store.
-    fn observe_era(&self, era: Option<StoreEra>) -> Result<EraChange> {
-        let mut eras = self.eras.lock().unwrap_or_else(PoisonError::into_inner);
-        let change = eras.observe(era);
+    fn observe_generation(&self, generation: Option<StoreGeneration>) -> Result<GenerationChange> {
+        let mut generations = self
+            .generations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let change = generations.observe(generation);
         match change {
-            EraChange::Same => {}
-            EraChange::Restored => {
+            GenerationChange::Same => {}
+            GenerationChange::Restored => {
                 self.restores.fetch_add(1, Ordering::Relaxed);
                 log::warn!(
                     target: "budget",
-                    "the ledger was restored from an older copy, era {}", eras.current()
+                    "the ledger was restored from an older copy, generation {}", generations.current()
                 );
             }
-            EraChange::Outdated => {
+            GenerationChange::Outdated => {
                 return Err(Error::new(
                     Category::Refused,
                     "read the ledger",
@@ -149,9 +154,9 @@
                 ));
             }
         }
-        let current = eras.current();
-        drop(eras);
-        self.lock().get_or_insert_default().set_era(current);
+        let current = generations.current();
+        drop(generations);
+        self.lock().get_or_insert_default().set_generation(current);
         Ok(change)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,10 +61,10 @@
     RetryLimiterSettings, WaitEstimator, WaitEstimatorSettings, choose, cold_rate_share,
 };
 pub use process::{
-    AppendCall, AppendId, AppendOutcome, BudgetKeeper, Decoders, EraChange, EraTracker, Gateway,
-    GatewaySettings, ListenSettings, LogGuard, NewestCall, PeerRouter, Phase, ReadCall,
-    RouterDirectory, SidecarSettings, Store, StoreEra, StorePage, StoreRecord, StoreTransport,
-    Topic, run_relay, start_json_logging,
+    AppendCall, AppendId, AppendOutcome, BudgetKeeper, Decoders, Gateway, GatewaySettings,
+    GenerationChange, GenerationTracker, ListenSettings, LogGuard, NewestCall, PeerRouter, Phase,
+    ReadCall, RouterDirectory, SidecarSettings, Store, StoreGeneration, StorePage, StoreRecord,
+    StoreTransport, Topic, run_relay, start_json_logging,
 };
 pub use request::{
     AnswerKind, BackendAnswer, BackendRequestHead, CallerRequest, EventError, EventSplitter,
--- a/crates/gateway/src/process/follow_topic.rs
+++ b/crates/gateway/src/process/follow_topic.rs
@@ -2,7 +2,7 @@
 
 use super::{
     store::{Store, StoreRecord, Topic},
-    store_era::{EraChange, EraTracker},
+    store_generation::{GenerationChange, GenerationTracker},
 };
 use mallowpath::{Backoff, Category};
 use std::time::Duration;
@@ -42,7 +42,7 @@
 ) {
     let mut failures = 0;
     let mut from = None;
-    let mut eras = EraTracker::default();
+    let mut generations = GenerationTracker::default();
     let mut is_restored = false;
     loop {
         let result = match from {
@@ -52,21 +52,21 @@
         match result {
             Ok(page) => {
                 failures = 0;
-                let change = eras.observe(page.era);
-                if change == EraChange::Restored {
+                let change = generations.observe(page.generation);
+                if change == GenerationChange::Restored {
                     log::warn!(
                         target: "store",
-                        "topic {topic:?} was restored from an older copy, era {}", eras.current()
+                        "topic {topic:?} was restored from an older copy, generation {}", generations.current()
                     );
                     is_restored = true;
                 }
-                if change == EraChange::Outdated {
-                    log::warn!(target: "store", "discarding an answer of an earlier era: {topic:?}");
+                if change == GenerationChange::Outdated {
+                    log::warn!(target: "store", "discarding an answer of an earlier generation: {topic:?}");
                     sleep(Duration::from_millis(READ_BACKOFF.min_ms)).await;
                     continue;
                 }
                 if is_restored && from.is_some() {
-                    // The offset belongs to another era than the records of the page.
+                    // The offset belongs to another generation than the records of the page.
                     from = None;
                     continue;
                 }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -9,7 +9,7 @@
 mod settings;
 mod sidecar;
 mod store;
-mod store_era;
+mod store_generation;
 mod store_transport;
 mod watch;
 mod watch_backends;
@@ -25,6 +25,6 @@
 pub use store::{
     AppendCall, AppendId, AppendOutcome, NewestCall, ReadCall, Store, StorePage, StoreRecord, Topic,
 };
-pub use store_era::{EraChange, EraTracker, StoreEra};
+pub use store_generation::{GenerationChange, GenerationTracker, StoreGeneration};
 pub use store_transport::StoreTransport;
 pub use watch::Decoders;
--- a/crates/gateway/src/process/store.rs
+++ b/crates/gateway/src/process/store.rs
@@ -4,7 +4,7 @@
 //! order of the appends. A writer numbers its appends, so an append that is repeated or delayed
 //! takes effect exactly once and in order. A later epoch of the writer fences the earlier ones.
 
-use super::store_era::StoreEra;
+use super::store_generation::StoreGeneration;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use mallowpath::{Offset, Result};
@@ -39,8 +39,8 @@
     pub records: Vec<StoreRecord>,
     /// The offset from which to continue.
     pub next: Offset,
-    /// The store's era when it answered; `None` if it states none.
-    pub era: Option<StoreEra>,
+    /// The store's generation when it answered; `None` if it states none.
+    pub generation: Option<StoreGeneration>,
 }
 
 /// The position of an append among those of its writer, which makes the append idempotent.
@@ -61,8 +61,8 @@
     Appended {
         /// The offset of the record.
         offset: Offset,
-        /// The store's era when it answered; `None` if it states none.
-        era: Option<StoreEra>,
+        /// The store's generation when it answered; `None` if it states none.
+        generation: Option<StoreGeneration>,
     },
     /// The append was rejected because it does not follow the last append of the writer that the
     /// store knows; a store that was restored may have lost some.
--- a/crates/gateway/src/process/watch_routers.rs
+++ b/crates/gateway/src/process/watch_routers.rs
@@ -83,7 +83,7 @@
         if record.key == *name && record.value.as_ref() == Some(&address) {
             return Ok(AppendOutcome::Appended {
                 offset: page.next,
-                era: page.era,
+                generation: page.generation,
             });
         }
     }
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -20,7 +20,6 @@
 use hyper::body::Incoming;
 use mallowpath::{BodyError, ServiceId};
 use std::{
-    ops::Range,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -31,13 +30,6 @@
 /// `Retry-After` when the router has not read a configuration yet.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 500;
 
-/// Range from which the `Retry-After` of an overload rejection is drawn, as a share of the caller's
-/// remaining time.
-///
-/// A caller waits for at most a third of that time. The length of a burst is unknown, so the delay
-/// is nearly as long as that allows, and random, so that retries are spread.
-const OVERLOAD_RETRY_AFTER_SHARES: Range<f64> = 0.16..0.32;
-
 /// Time before the caller's deadline at which the gateway answers by itself, so that its answer
 /// arrives in time.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
@@ -137,13 +129,8 @@
         "a wait of {} ms expected",
         overload.expected_wait_ms
     ));
-    let share = rand::random_range(OVERLOAD_RETRY_AFTER_SHARES);
-    let retry = Duration::from_millis(times.remaining_ms).mul_f64(share);
-    Err(Rejection::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        Reason::Overloaded,
-        millis(retry),
-    ))
+    let remaining = Duration::from_millis(times.remaining_ms);
+    Err(Rejection::no_capacity(Reason::Overloaded, remaining))
 }
 
 /// Reads a complete body of at most `max_bytes` before `deadline`.
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -307,7 +307,9 @@
             (false, reason) => {
                 let backends = &self.gateway.backends;
                 let pause_ms = backends.shortest_pause_ms(&self.service, self.gateway.now_ms());
-                Rejection::no_capacity(reason, pause_ms)
+                let deadline = self.outgoing_request.deadline;
+                let remaining = deadline.saturating_duration_since(Instant::now());
+                Rejection::no_capacity(reason, remaining).after_pause(pause_ms)
             }
             (true, Reason::Timeout) => Rejection::new(StatusCode::GATEWAY_TIMEOUT, Reason::Timeout),
             (true, _) => Rejection::new(StatusCode::BAD_GATEWAY, Reason::AnswerLost),
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -59,7 +59,10 @@
     let deadline = deadline(started, &route, &caller_request);
     let body = read_body(body, admitted.body_max_bytes, deadline).await?;
     let Some(service) = route.choose_service(rand::random()).cloned() else {
-        return Err(Rejection::no_capacity(Reason::NoBackend, None));
+        return Err(Rejection::no_capacity(
+            Reason::NoBackend,
+            deadline.saturating_duration_since(Instant::now()),
+        ));
     };
     // The budget is checked first. The rejection for a spent budget is final and takes precedence
     // over one with `Retry-After`, and a request that its budget does not cover must not add to the
--- a/crates/gateway/src/request/rejection.rs
+++ b/crates/gateway/src/request/rejection.rs
@@ -4,10 +4,17 @@
     answer::{AnswerBody, error_response},
     request_log::{Reason, RequestLog},
 };
+use crate::request::millis;
 use http::{Response, StatusCode};
+use std::{ops::Range, time::Duration};
 
-/// `Retry-After` when no backend server had capacity for the request.
-pub(super) const NO_CAPACITY_RETRY_AFTER_MS: u64 = 250;
+/// Range from which the `Retry-After` of a request that no backend server can take now is drawn, as
+/// a share of the caller's remaining time.
+///
+/// A caller waits for at most a third of that time, and few come back more than once. How long the
+/// shortage lasts is unknown, so the delay is nearly as long as that allows, and random, so that
+/// retries are spread.
+const NO_CAPACITY_RETRY_AFTER_SHARES: Range<f64> = 0.16..0.32;
 
 /// An error response that the gateway sends in place of a backend server's answer.
 #[derive(Debug)]
@@ -47,17 +54,24 @@
         )
     }
 
-    /// Returns a rejection of a request that no backend server accepted.
+    /// Returns a rejection of a request that no backend server accepted or would serve in time.
     ///
-    /// `pause_ms` is the time until a backend server accepts requests again, if it is known.
-    pub(super) fn no_capacity(reason: Reason, pause_ms: Option<u64>) -> Self {
+    /// `remaining` is the caller's remaining time.
+    pub(super) fn no_capacity(reason: Reason, remaining: Duration) -> Self {
+        let share = rand::random_range(NO_CAPACITY_RETRY_AFTER_SHARES);
         Self::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             reason,
-            pause_ms.unwrap_or_default().max(NO_CAPACITY_RETRY_AFTER_MS),
+            millis(remaining.mul_f64(share)),
         )
     }
 
+    /// Raises `Retry-After` to the time until a backend server accepts requests again.
+    pub(super) fn after_pause(mut self, pause_ms: Option<u64>) -> Self {
+        self.retry_after_ms = self.retry_after_ms.max(pause_ms);
+        self
+    }
+
     /// Logs the reason as the outcome and returns the response.
     pub(super) fn into_response(self, log: &mut RequestLog) -> Response<AnswerBody> {
         log.set_outcome(self.reason, self.status.as_u16());
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -217,3 +217,21 @@
     // Requests are accepted again after the queue has drained.
     assert_eq!(test.call("/once/", "").await.status, 200);
 }
+
+#[tokio::test]
+async fn caller_that_nobody_can_serve_is_told_to_come_back_late_in_its_remaining_time() {
+    let test = TestGateway::start(&[]).await;
+    let mut delays = Vec::new();
+    for _ in 0..20 {
+        let got = test.call("/once/", "x-deadline: 2000\r\n").await;
+        assert_eq!(got.status, 503);
+        let delay_s: f64 = header(&got.head, "retry-after").unwrap().parse().unwrap();
+        // A caller waits for a third of its time at most.
+        assert!((0.25..0.667).contains(&delay_s), "{delay_s}");
+        delays.push(delay_s);
+    }
+    // Callers that were refused together do not come back together.
+    let earliest = delays.iter().copied().fold(f64::MAX, f64::min);
+    let latest = delays.iter().copied().fold(f64::MIN, f64::max);
+    assert!(latest - earliest > 0.05, "{delays:?}");
+}
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -9,7 +9,7 @@
     store::FakeStore,
 };
 use futures_util::FutureExt;
-use mallowpath_gateway::{Account, AccountLine, Configuration, StoreEra, Topic};
+use mallowpath_gateway::{Account, AccountLine, Configuration, StoreGeneration, Topic};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -367,14 +367,14 @@
     fn accounts_survive_encoding_and_decoding(
         epoch in any::<u64>(),
         sequence in any::<u64>(),
-        era in any::<u64>(),
+        generation in any::<u64>(),
         incarnation in any::<u64>(),
         numbers in proptest::collection::vec(any::<(u64, u64, u64, u64)>(), 0..5),
     ) {
         let mut account = Account {
             epoch,
             sequence,
-            era: StoreEra(era),
+            generation: StoreGeneration(generation),
             incarnation,
             ..Account::default()
         };
--- a/crates/gateway/tests/common/store.rs
+++ b/crates/gateway/tests/common/store.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use mallowpath::{Category, Error, Offset, Result};
-use mallowpath_gateway::{AppendId, AppendOutcome, Store, StoreEra, StorePage, StoreRecord, Topic};
+use mallowpath_gateway::{
+    AppendId, AppendOutcome, Store, StoreGeneration, StorePage, StoreRecord, Topic,
+};
 use std::{
     collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex},
@@ -21,7 +23,7 @@
     /// What a restore brings back.
     copy: Option<(Topics, Writers)>,
     /// The number of restores.
-    era: u64,
+    generation: u64,
     topics: Topics,
     /// The first offset from which records can be read.
     first_offset: u64,
@@ -96,13 +98,13 @@
         state.copy = Some((state.topics.clone(), state.writers.clone()));
     }
 
-    /// Replaces all records and appends by those of the last copy, and starts a new era.
+    /// Replaces all records and appends by those of the last copy, and starts a new generation.
     pub fn restore(&self) {
         let mut state = self.0.lock().unwrap();
         let (topics, writers) = state.copy.clone().unwrap();
         state.topics = topics;
         state.writers = writers;
-        state.era += 1;
+        state.generation += 1;
     }
 
     /// Returns the store interface that the gateway uses.
@@ -127,7 +129,7 @@
     fn newest(&self, topic: Topic) -> Result<StorePage> {
         let mut state = self.0.lock().unwrap();
         state.count_call()?;
-        let era = Some(StoreEra(state.era));
+        let generation = Some(StoreGeneration(state.generation));
         let records = state.topics.entry(topic_name(topic)).or_default();
         let mut newest: BTreeMap<Arc<str>, StoreRecord> = BTreeMap::new();
         for record in records.iter() {
@@ -137,7 +139,7 @@
         Ok(StorePage {
             next: Offset(records.len() as u64),
             records: newest.into_values().collect(),
-            era,
+            generation,
         })
     }
 
@@ -147,7 +149,7 @@
             {
                 let mut state = self.0.lock().unwrap();
                 state.count_call()?;
-                let era = Some(StoreEra(state.era));
+                let generation = Some(StoreGeneration(state.generation));
                 let end = state.end(topic);
                 if from.0 < state.first_offset.min(end) || from.0 > end {
                     return Err(store_error(Category::Gone));
@@ -157,7 +159,11 @@
                 if records.len() > start || tokio::time::Instant::now() >= until {
                     let records = records.get(start..).unwrap_or_default().to_vec();
                     let next = Offset(from.0 + records.len() as u64);
-                    return Ok(StorePage { records, next, era });
+                    return Ok(StorePage {
+                        records,
+                        next,
+                        generation,
+                    });
                 }
             }
             tokio::time::sleep(Duration::from_millis(2)).await;
@@ -207,7 +213,7 @@
         state.count_call()?;
         Ok(AppendOutcome::Appended {
             offset: Offset(offset),
-            era: Some(StoreEra(state.era)),
+            generation: Some(StoreGeneration(state.generation)),
         })
     }
 }
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -11,7 +11,8 @@
 };
 use mallowpath::WorkspaceId;
 use mallowpath_gateway::{
-    Account, AccountLedger, AccountLine, EraChange, EraTracker, StoreEra, Topic,
+    Account, AccountLedger, AccountLine, GenerationChange, GenerationTracker, StoreGeneration,
+    Topic,
 };
 use proptest::prelude::*;
 use std::{
@@ -28,15 +29,27 @@
 }
 
 #[test]
-fn era_rises_and_answers_of_an_earlier_one_are_outdated() {
-    let mut eras = EraTracker::default();
-    assert_eq!(eras.observe(None), EraChange::Same);
-    assert_eq!(eras.observe(Some(StoreEra(4))), EraChange::Same);
-    assert_eq!(eras.observe(Some(StoreEra(6))), EraChange::Restored);
-    assert_eq!(eras.observe(Some(StoreEra(4))), EraChange::Outdated);
-    assert_eq!(eras.observe(None), EraChange::Same);
-    assert_eq!(eras.observe(Some(StoreEra(6))), EraChange::Same);
-    assert_eq!(eras.current(), StoreEra(6));
+fn generation_rises_and_answers_of_an_earlier_one_are_outdated() {
+    let mut generations = GenerationTracker::default();
+    assert_eq!(generations.observe(None), GenerationChange::Same);
+    assert_eq!(
+        generations.observe(Some(StoreGeneration(4))),
+        GenerationChange::Same
+    );
+    assert_eq!(
+        generations.observe(Some(StoreGeneration(6))),
+        GenerationChange::Restored
+    );
+    assert_eq!(
+        generations.observe(Some(StoreGeneration(4))),
+        GenerationChange::Outdated
+    );
+    assert_eq!(generations.observe(None), GenerationChange::Same);
+    assert_eq!(
+        generations.observe(Some(StoreGeneration(6))),
+        GenerationChange::Same
+    );
+    assert_eq!(generations.current(), StoreGeneration(6));
 }
 
 #[tokio::test]
@@ -63,7 +76,7 @@
         sleep(Duration::from_millis(50)).await;
     }
     assert_eq!(inside.count(), 0);
-    // Records of the new era are read, at offsets that were in use before.
+    // Records of the new generation are read, at offsets that were in use before.
     test.store
         .put(Topic::Configuration, "configuration", Some("3"));
     test.store
@@ -91,7 +104,7 @@
         assert_eq!(test.call("/once/", "").await.body, "staying");
         sleep(Duration::from_millis(20)).await;
     }
-    // A registration that is written in the new era is in force.
+    // A registration that is written in the new generation is in force.
     let entry = gone.address.to_string();
     test.store.put(Topic::Backends, "b1", Some(&entry));
     test.wait_until(|gateway| gateway.backends.len() == 3).await;
@@ -142,11 +155,17 @@
     );
 }
 
-fn account(era: u64, epoch: u64, sequence: u64, incarnation: u64, line: AccountLine) -> Account {
+fn account(
+    generation: u64,
+    epoch: u64,
+    sequence: u64,
+    incarnation: u64,
+    line: AccountLine,
+) -> Account {
     let mut account = Account {
         epoch,
         sequence,
-        era: StoreEra(era),
+        generation: StoreGeneration(generation),
         incarnation,
         ..Account::default()
     };
@@ -168,7 +187,7 @@
     ledger.set(Arc::from("r"), account(0, 1, 5, 9, granted(0, 500)));
     ledger.set(Arc::from("r"), account(0, 1, 3, 9, granted(0, 300)));
     assert_eq!(ledger.spent_or_held(&workspace()), 500);
-    // The same process in the next era; it has returned tokens.
+    // The same process in the next generation; it has returned tokens.
     ledger.set(Arc::from("r"), account(1, 2, 1, 9, granted(0, 400)));
     assert_eq!(ledger.spent_or_held(&workspace()), 400);
 }
@@ -192,9 +211,9 @@
         ..granted(0, 300)
     };
     ledger.set(Arc::from("r"), account(1, 1, 1, 7, line));
-    ledger.set_era(StoreEra(1));
+    ledger.set_generation(StoreGeneration(1));
     assert_eq!(ledger.spent_or_held(&workspace()), 300);
-    ledger.set_era(StoreEra(2));
+    ledger.set_generation(StoreGeneration(2));
     assert_eq!(ledger.spent_or_held(&workspace()), 300 + 200);
     ledger.set(Arc::from("r"), account(2, 2, 1, 7, line));
     assert_eq!(ledger.spent_or_held(&workspace()), 300);
