Keep the ledger in eight shards; bound what a draw takes of the rest

Cause: the store appends to a topic one record at a time. Ruled out: waiting longer for a draw (0.4 s is long for these objectives); the keepers (the cut leaves each router alone, so all draw). Change: eight topics, a DrawTask each (BudgetShards); a test pins the mapping of workspaces. draw_max_share: 1/32 of the undrawn rest beyond what waits, as with the old division by 28 to 68 accounts; its test failed first.

--- a/crates/gateway/src/budget/draw_loop.rs
+++ b/crates/gateway/src/budget/draw_loop.rs
@@ -15,8 +15,8 @@
 const REVIEW_INTERVAL_MS: u64 = 250;
 
 /// Draws and returns tokens of the budgets in the current configuration until `is_closing` returns true.
-pub(crate) async fn run_draws(
-    task: Arc<DrawTask>,
+pub(super) async fn run_draws(
+    task: &DrawTask,
     configuration: impl Fn() -> Option<Arc<Configuration>>,
     is_closing: impl Fn() -> bool,
 ) {
@@ -44,7 +44,7 @@
 }
 
 /// Returns all tokens that are neither spent nor reserved to the ledger, giving up at `until`.
-pub(crate) async fn return_unspent(task: &DrawTask, configuration: &Configuration, until: Instant) {
+pub(super) async fn return_unspent(task: &DrawTask, configuration: &Configuration, until: Instant) {
     let without_demand = |holding: &mut Holding| {
         holding.tokens_per_s = 0.0;
         holding.shortage_tokens = 0;
--- a/crates/gateway/src/budget/draw_plan.rs
+++ b/crates/gateway/src/budget/draw_plan.rs
@@ -41,6 +41,11 @@
     pub refill_below_share: f64,
     /// The multiple of a full holding above which the router returns the excess.
     pub return_above_factor: f64,
+    /// The share of a budget's undrawn tokens that one draw takes at most, beyond what requests wait
+    /// for.
+    ///
+    /// It bounds what a router takes after slow draws, which lengthen its horizon.
+    pub draw_max_share: f64,
     /// The share of a budget's undrawn tokens that all routers together aim to hold at least.
     pub floor_share: f64,
     /// The share of a budget that an excess must exceed to be returned.
@@ -96,7 +101,9 @@
         let missing = full.saturating_sub(available);
         // Concurrent draws of all holders fit into the budget if each takes no more than its share.
         // A draw that exceeds its share because requests want more may have to be returned.
-        let share = scaled(undrawn, 1.0 / holders.max(2.0)).max(holding.shortage_tokens);
+        let share = settings.draw_max_share.max(settings.floor_share);
+        let share = share.min(1.0 / holders);
+        let share = scaled(undrawn, share).max(holding.shortage_tokens);
         return holding.granted + missing.min(share).min(undrawn);
     }
     let excess = available.saturating_sub(full);
@@ -132,6 +139,7 @@
             horizon_s: 0.2,
             refill_below_share: 0.5,
             return_above_factor: 2.0,
+            draw_max_share: 1.0 / 32.0,
             floor_share: 1.0 / 512.0,
             return_min_share: 1.0 / 2_048.0,
             raise_hold_ms: 3_000,
--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -3,6 +3,7 @@
 use super::{
     draw_plan::{DrawSettings, Holding, plan_account},
     ledger::{Account, AccountLedger},
+    ledger_shard::LedgerShard,
     ledger_view::{LedgerView, back_off},
     local_budgets::LocalBudgets,
     writer_state::WriterState,
@@ -46,6 +47,7 @@
     router: Arc<str>,
     local_budgets: Arc<LocalBudgets>,
     settings: DrawSettings,
+    shard: LedgerShard,
     /// Identifies this process in its account.
     incarnation: u64,
     /// Whether the store may have been restored since the ledger was last read.
@@ -89,7 +91,8 @@
         settings: DrawSettings,
     ) -> Self {
         Self {
-            ledger: LedgerView::new(store.clone()),
+            ledger: LedgerView::new(store.clone(), LedgerShard::default()),
+            shard: LedgerShard::default(),
             store,
             router,
             local_budgets,
@@ -102,6 +105,14 @@
         }
     }
 
+    /// Draws from `shard` in place of the first one.
+    #[must_use]
+    pub fn with_shard(mut self, shard: LedgerShard) -> Self {
+        self.ledger = LedgerView::new(self.store.clone(), shard);
+        self.shard = shard;
+        self
+    }
+
     /// Holds tokens in advance only of the budgets for which `is_keeper` returns true.
     #[must_use]
     pub fn with_keeper_check(
@@ -196,7 +207,7 @@
         let now = Instant::now();
         let refill_below_s = self.horizon_s() * self.settings.refill_below_share;
         let mut holdings = Vec::new();
-        for workspace in &configuration.workspaces {
+        for workspace in configuration.workspaces_of(self.shard) {
             let Some(prepaid) = workspace.prepaid else {
                 continue;
             };
@@ -404,7 +415,7 @@
                 key: Arc::clone(&self.router),
                 value: Some(account.encode()),
             };
-            match (self.store.append)(Topic::Budgets, record, append_id).await {
+            match (self.store.append)(Topic::Budgets(self.shard), record, append_id).await {
                 Ok(AppendOutcome::Appended { offset, generation }) => {
                     self.writer().store_failed = false;
                     if self.ledger.is_outdated(generation) {
--- a/crates/gateway/src/budget/keeper_server.rs
+++ b/crates/gateway/src/budget/keeper_server.rs
@@ -83,13 +83,14 @@
         number: message.number,
     };
     let reservations = &gateway.remote_reservations;
+    let draw_task = gateway.budgets.task(request.workspace);
     let expires_after = Duration::from_millis(message.expires_after_ms);
     reservations.open(key, Instant::now() + expires_after);
-    let reserved = if let Ok(reservation) = reserve_held(&gateway.draw_task, request) {
+    let reserved = if let Ok(reservation) = reserve_held(draw_task, request) {
         Ok(reservation)
     } else {
         send(responder, reply(ReserveAnswerKind::Pending)).await;
-        reserve_drawn(&gateway.draw_task, request).await
+        reserve_drawn(draw_task, request).await
     };
     let reply = match reserved {
         Ok(reservation) => {
@@ -132,8 +133,8 @@
 /// Returns whether this router keeps budgets at present.
 fn keeps_budgets(gateway: &Gateway) -> bool {
     *gateway.phase().borrow() == Phase::Serving
-        && gateway.draw_task.ledger().lock().is_some()
-        && !gateway.draw_task.is_fenced()
+        && gateway.budgets.is_loaded()
+        && !gateway.budgets.is_fenced()
 }
 
 /// Returns a workspace with a limited budget and its prepaid tokens.
--- a/crates/gateway/src/budget/ledger_view.rs
+++ b/crates/gateway/src/budget/ledger_view.rs
@@ -1,6 +1,9 @@
 //! This process's copy of the ledger.
 
-use super::ledger::{Account, AccountLedger};
+use super::{
+    ledger::{Account, AccountLedger},
+    ledger_shard::LedgerShard,
+};
 use crate::process::{
     GenerationChange, GenerationTracker, LastRead, Store, StoreGeneration, StorePage, Topic,
 };
@@ -30,6 +33,7 @@
 #[derive(Debug)]
 pub struct LedgerView {
     store: Store,
+    topic: Topic,
     /// `None` before the first read. The locks of the draw task's writer and of the local budgets
     /// may be taken while this one is held, never the other way round.
     ledger: Mutex<Option<AccountLedger>>,
@@ -41,9 +45,10 @@
 }
 
 impl LedgerView {
-    pub(super) fn new(store: Store) -> Self {
+    pub(super) fn new(store: Store, shard: LedgerShard) -> Self {
         Self {
             store,
+            topic: Topic::Budgets(shard),
             ledger: Mutex::default(),
             last_read: LastRead::default(),
             generations: Mutex::default(),
@@ -89,7 +94,7 @@
 
     /// Reads the newest account of each router; newer ones that are known are kept.
     pub(super) async fn reload(&self) -> Result<()> {
-        let page = (self.store.newest)(Topic::Budgets).await?;
+        let page = (self.store.newest)(self.topic).await?;
         self.observe_generation(page.generation)?;
         let mut view = self.lock();
         apply_page(view.get_or_insert_default(), page);
@@ -102,7 +107,7 @@
     /// lost.
     pub(super) async fn read_new_records(&self) -> Result<()> {
         let from = self.end();
-        match (self.store.read)(Topic::Budgets, from, 0).await {
+        match (self.store.read)(self.topic, from, 0).await {
             Ok(page) => {
                 if self.observe_generation(page.generation)? == GenerationChange::Restored {
                     // The offset belongs to another generation than the records of the page.
--- a/crates/gateway/src/budget/mod.rs
+++ b/crates/gateway/src/budget/mod.rs
@@ -1,12 +1,14 @@
 //! Prepaid budgets: the ledger of all routers' tokens, this router's local budgets and draws, and
 //! reservations at the routers that keep the budgets.
 
+mod budget_shards;
 mod draw_loop;
 mod draw_plan;
 mod draw_task;
 mod keeper_client;
 mod keeper_server;
 mod ledger;
+mod ledger_shard;
 mod ledger_view;
 mod local_budgets;
 mod remote_reservations;
@@ -14,13 +16,14 @@
 mod reserve;
 mod writer_state;
 
-pub(crate) use draw_loop::{return_unspent, run_draws};
+pub use budget_shards::BudgetShards;
 pub use draw_plan::{DrawSettings, Holding, plan_account};
 pub use draw_task::DrawTask;
 pub use keeper_client::KeeperClient;
 pub(crate) use keeper_client::{KeeperAnswer, endpoint};
 pub(crate) use keeper_server::{handle_peer_message, run_expiry};
 pub use ledger::{Account, AccountLedger, AccountLine};
+pub use ledger_shard::LedgerShard;
 pub use ledger_view::LedgerView;
 pub use local_budgets::{InsufficientTokens, LocalBudgets, TokenWaiter};
 pub use remote_reservations::{RemoteReservations, ReservationKey};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,9 +51,9 @@
 mod version;
 
 pub use budget::{
-    Account, AccountLedger, AccountLine, DrawSettings, DrawTask, Holding, InsufficientTokens,
-    KeeperClient, LedgerView, LocalBudgets, RemoteReservations, Reservation, ReservationKey,
-    TokenWaiter, plan_account,
+    Account, AccountLedger, AccountLine, BudgetShards, DrawSettings, DrawTask, Holding,
+    InsufficientTokens, KeeperClient, LedgerShard, LedgerView, LocalBudgets, RemoteReservations,
+    Reservation, ReservationKey, TokenWaiter, plan_account,
 };
 pub use placement::{
     Availability, Backend, BackendEntry, BackendQuery, BackendRegistry, Candidate, ChoiceSettings,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -16,8 +16,8 @@
 };
 use crate::{
     budget::{
-        DrawTask, Holding, KeeperClient, LocalBudgets, RemoteReservations, endpoint,
-        handle_peer_message, return_unspent, run_draws, run_expiry,
+        BudgetShards, Holding, KeeperClient, RemoteReservations, endpoint, handle_peer_message,
+        run_expiry,
     },
     connection::{CallerConnections, serve_callers},
     placement::{BackendEntry, BackendRegistry, RetryLimiter, RetryLimiterSettings},
@@ -68,8 +68,7 @@
     pub(crate) head_codec: HeadCodec,
     /// The backend servers and their load.
     pub backends: BackendRegistry,
-    pub(crate) local_budgets: Arc<LocalBudgets>,
-    pub(crate) draw_task: Arc<DrawTask>,
+    pub(crate) budgets: BudgetShards,
     /// The routers of the fleet.
     pub directory: Arc<RouterDirectory>,
     pub(crate) keeper_client: Arc<KeeperClient>,
@@ -135,7 +134,7 @@
         if let Ok(address) = peers.local_addr() {
             settings.listen.peers = address;
         }
-        let gateway = Arc::new(Self::new(settings, head_codec, store.clone(), transport));
+        let gateway = Arc::new(Self::new(settings, head_codec, &store, transport));
         serve_admin(ready, admin_hooks(&gateway));
         serve_admin(admin, admin_hooks(&gateway));
         if let Some(address) = listen_at.metrics {
@@ -159,7 +158,7 @@
         tokio::spawn(watch_routers(Arc::clone(&gateway), store));
         serve_peers(&gateway, peers);
         tokio::spawn(run_expiry(Arc::clone(&gateway)));
-        tokio::spawn(run_draw_task(Arc::clone(&gateway)));
+        tokio::spawn(run_draw_tasks(Arc::clone(&gateway)));
         tokio::spawn(serve_callers(Arc::clone(&gateway), callers));
         log::info!(target: "process", "router on {} started", gateway.settings.host);
         Ok(gateway)
@@ -168,20 +167,16 @@
     fn new(
         settings: GatewaySettings,
         head_codec: HeadCodec,
-        store: Store,
+        store: &Store,
         transport: Arc<StoreTransport>,
     ) -> Self {
-        let local_budgets = LocalBudgets::new();
-        let draw_task = DrawTask::new(
+        let directory = Arc::new(RouterDirectory::new(Arc::clone(&settings.account)));
+        let budgets = BudgetShards::new(
             store,
-            Arc::clone(&settings.account),
-            Arc::clone(&local_budgets),
-            settings.draw_settings.clone(),
+            &settings.account,
+            &settings.draw_settings,
+            &directory,
         );
-        let directory = Arc::new(RouterDirectory::new(Arc::clone(&settings.account)));
-        let keeper_directory = Arc::clone(&directory);
-        let draw_task =
-            draw_task.with_keeper_check(move |workspace| keeper_directory.is_keeper(workspace));
         let hello = Hello {
             incarnation: rand::random(),
             host: settings.host.to_string(),
@@ -194,8 +189,7 @@
             reloadable: RwLock::new(ReloadableSettings::new(&settings)),
             settings,
             head_codec,
-            local_budgets,
-            draw_task: Arc::new(draw_task),
+            budgets,
             keeper_client: KeeperClient::new(Arc::clone(&directory), hello.clone()),
             directory,
             remote_reservations: RemoteReservations::default(),
@@ -224,8 +218,7 @@
 
     /// Returns the tokens that the router holds of a workspace's budget of `prepaid` tokens.
     pub fn holding(&self, workspace: &WorkspaceId, prepaid: u64) -> Holding {
-        self.local_budgets
-            .holding(workspace, prepaid, 0.0, Instant::now())
+        self.budgets.holding(workspace, prepaid)
     }
 
     /// Applies the settings that can be reloaded: seed relays, retries and the grace period.
@@ -271,7 +264,7 @@
         *self.phase.borrow() == Phase::Serving
             && self.configuration().is_some()
             && self.backends_read.age_ms().is_some()
-            && self.draw_task.ledger().lock().is_some()
+            && self.budgets.is_loaded()
     }
 
     pub(crate) fn phase(&self) -> watch::Receiver<Phase> {
@@ -328,12 +321,12 @@
         self.backends.remove(id);
     }
 
-    /// Returns the times since configuration, backend servers and ledger were read.
+    /// Returns the times since configuration, backend servers and any shard of the ledger were read.
     pub(crate) fn state_ages(&self) -> StateAges {
         StateAges {
             configuration_ms: self.configuration_read.age_ms(),
             backends_ms: self.backends_read.age_ms(),
-            ledger_ms: self.draw_task.ledger().age_ms(),
+            ledger_ms: self.budgets.age_ms(),
         }
     }
 
@@ -405,7 +398,7 @@
             "routers": self.directory.router_count(),
             "unreachable_routers": self.directory.unreachable_count(),
             "remote_reservations": self.remote_reservations.len(),
-            "ledger_end": self.draw_task.ledger().lock().as_ref().map(|ledger| ledger.end().0),
+            "ledger_ends": self.budgets.ends(),
         })
     }
 }
@@ -419,11 +412,10 @@
     tokio::spawn(accept_links(listener, endpoint, |_| async {}));
 }
 
-async fn run_draw_task(gateway: Arc<Gateway>) {
+async fn run_draw_tasks(gateway: Arc<Gateway>) {
     let configuration = || gateway.configuration();
     let is_closing = || *gateway.phase.borrow() == Phase::Closing;
-    let task = Arc::clone(&gateway.draw_task);
-    run_draws(task, configuration, is_closing).await;
+    gateway.budgets.run(configuration, is_closing).await;
 }
 
 /// Shuts down gracefully.
@@ -450,7 +442,7 @@
     }
     wait_for_reservations(&gateway, serving_deadline).await;
     if let Some(configuration) = gateway.configuration() {
-        return_unspent(&gateway.draw_task, &configuration, end).await;
+        gateway.budgets.return_unspent(&configuration, end).await;
     }
     log::info!(target: "process", "drained");
     gateway.ended.notify_one();
--- a/crates/gateway/src/process/store.rs
+++ b/crates/gateway/src/process/store.rs
@@ -5,6 +5,7 @@
 //! takes effect exactly once and in order. A later epoch of the writer fences the earlier ones.
 
 use super::store_generation::StoreGeneration;
+use crate::budget::LedgerShard;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use mallowpath::{Offset, Result};
@@ -17,8 +18,8 @@
     Configuration,
     /// The registrations of backend servers.
     Backends,
-    /// The tokens that each router holds of the budgets.
-    Budgets,
+    /// The tokens that each router holds of the budgets of one shard.
+    Budgets(LedgerShard),
     /// The addresses of the routers.
     Routers,
 }
--- a/crates/gateway/src/process/watch.rs
+++ b/crates/gateway/src/process/watch.rs
@@ -64,7 +64,7 @@
                 is_restored,
             } => {
                 if is_restored {
-                    self.gateway.draw_task.check_for_restore();
+                    self.gateway.budgets.check_for_restore();
                 }
                 self.end_unlisted_evacuations(&records, is_restored);
                 records
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -108,7 +108,7 @@
     tokens: Option<TokenCount>,
 ) -> Result<(), Rejection> {
     match token_request(workspace, tokens) {
-        Some(request) if is_spent(&gateway.draw_task, request) => {
+        Some(request) if is_spent(gateway.budgets.task(request.workspace), request) => {
             Err(budget_rejection(ReserveError::Spent))
         }
         _ => Ok(()),
@@ -213,10 +213,11 @@
     gateway: &Gateway,
     request: TokenRequest<'_>,
 ) -> Result<Reservation, ReserveError> {
-    if let Ok(reservation) = reserve_held(&gateway.draw_task, request) {
+    let draw_task = gateway.budgets.task(request.workspace);
+    if let Ok(reservation) = reserve_held(draw_task, request) {
         return Ok(reservation);
     }
-    reserve_drawn(&gateway.draw_task, request).await
+    reserve_drawn(draw_task, request).await
 }
 
 /// Returns the tokens that a request needs; `None` if it has no prepaid budget.
--- a/crates/gateway/src/version/configuration.rs
+++ b/crates/gateway/src/version/configuration.rs
@@ -1,5 +1,6 @@
 //! One version of the fleet's configuration, as the gateway uses it.
 
+use crate::budget::LedgerShard;
 use mallowpath::{ServiceId, WorkspaceId};
 use std::{
     collections::{BTreeMap, HashMap},
@@ -95,6 +96,8 @@
     /// The routes of each virtual host, with the longest path prefix first.
     routes_by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     workspaces_by_key: HashMap<Arc<str>, Arc<Workspace>>,
+    /// The workspaces whose budgets are in each shard of the ledger.
+    workspaces_by_shard: Vec<Vec<Arc<Workspace>>>,
     workspaces_by_id: HashMap<WorkspaceId, Arc<Workspace>>,
     route_count: usize,
 }
@@ -129,6 +132,11 @@
         }
         self.workspaces_by_id
             .insert(workspace.id.clone(), Arc::clone(&workspace));
+        let shard = LedgerShard::of(&workspace.id).index();
+        if self.workspaces_by_shard.len() <= shard {
+            self.workspaces_by_shard.resize_with(shard + 1, Vec::new);
+        }
+        self.workspaces_by_shard[shard].push(Arc::clone(&workspace));
         self.workspaces.push(workspace);
     }
 
@@ -145,6 +153,12 @@
         self.workspaces_by_key.get(api_key)
     }
 
+    /// Returns the workspaces whose budgets are in a shard of the ledger.
+    pub fn workspaces_of(&self, shard: LedgerShard) -> &[Arc<Workspace>] {
+        let workspaces = self.workspaces_by_shard.get(shard.index());
+        workspaces.map_or(&[], Vec::as_slice)
+    }
+
     /// Returns a workspace by its name.
     pub fn workspace_by_id(&self, id: &WorkspaceId) -> Option<&Arc<Workspace>> {
         self.workspaces_by_id.get(id)
--- a/crates/gateway/tests/budgets.rs
+++ b/crates/gateway/tests/budgets.rs
@@ -4,12 +4,16 @@
 
 use common::{
     gateway::{PREPAID, TestGateway, WORKSPACE, send},
-    router::{TestRouter, configuration},
+    router::{TestRouter, configuration, shard},
     server::{ScriptStep, ScriptedServer, success},
     store::FakeStore,
 };
 use futures_util::FutureExt;
-use mallowpath_gateway::{Account, AccountLine, Configuration, StoreGeneration, Topic};
+use mallowpath::WorkspaceId;
+use mallowpath_gateway::{
+    Account, AccountLedger, AccountLine, Configuration, DrawSettings, LedgerShard, StoreGeneration,
+    Topic, Workspace, plan_account,
+};
 use proptest::prelude::*;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -303,7 +307,7 @@
     };
     account.lines.insert(WORKSPACE.parse().unwrap(), line);
     test.store
-        .put_bytes(Topic::Budgets, "other", account.encode());
+        .put_bytes(Topic::Budgets(shard()), "other", account.encode());
     // The first request makes the router read the other router's account.
     assert_eq!(
         test.call("/once/", "x-tokens: 9000 30\r\n").await.status,
@@ -393,3 +397,78 @@
         let _ = Account::decode("r", bytes.into());
     }
 }
+
+#[test]
+fn workspaces_keep_their_shard_of_the_ledger() {
+    // A change of the mapping would let a running fleet spend budgets twice.
+    let mut shards = Vec::new();
+    for name in ["port", "hule930", "w0", "w1", "w2", "ws-with-a-longer-name"] {
+        let workspace: WorkspaceId = name.parse().unwrap();
+        shards.push(LedgerShard::of(&workspace).index());
+    }
+    assert_eq!(shards, [0, 5, 7, 2, 6, 7]);
+}
+
+#[test]
+fn workspaces_are_spread_over_all_shards() {
+    let mut counts = vec![0; LedgerShard::all().len()];
+    for number in 0..800 {
+        let workspace: WorkspaceId = format!("w{number}").parse().unwrap();
+        counts[LedgerShard::of(&workspace).index()] += 1;
+    }
+    assert!(
+        counts.iter().all(|&count| (50..200).contains(&count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn configuration_lists_each_workspace_in_its_shard() {
+    let mut configuration = Configuration::new(1);
+    for number in 0..40 {
+        let workspace = Workspace {
+            id: format!("w{number}").parse().unwrap(),
+            prepaid: Some(1),
+        };
+        configuration.add_workspace(workspace, &[]);
+    }
+    let mut listed = 0;
+    for shard in LedgerShard::all() {
+        for workspace in configuration.workspaces_of(shard) {
+            assert_eq!(LedgerShard::of(&workspace.id), shard);
+            listed += 1;
+        }
+    }
+    assert_eq!(listed, 40);
+}
+
+#[test]
+fn draw_after_an_outage_leaves_most_of_the_budget_to_other_routers() {
+    let holding = mallowpath_gateway::Holding {
+        workspace: WORKSPACE.parse().unwrap(),
+        prepaid: 1_000_000,
+        granted: 0,
+        spent: 0,
+        reserved: 0,
+        tokens_per_s: 100_000.0,
+        shortage_tokens: 0,
+        is_kept: true,
+    };
+    // Draws took seconds, so the horizon would cover half of the budget.
+    let settings = DrawSettings {
+        horizon_s: 5.0,
+        ..DrawSettings::default()
+    };
+    let plan = |holding| {
+        let ledger = AccountLedger::default();
+        let account = plan_account(&ledger, &Account::default(), &[holding], &settings).unwrap();
+        account.lines[&WORKSPACE.parse().unwrap()].granted
+    };
+    assert!(plan(holding.clone()) <= 1_000_000 / 20);
+    // What requests wait for is drawn nevertheless.
+    let waiting = mallowpath_gateway::Holding {
+        shortage_tokens: 300_000,
+        ..holding
+    };
+    assert_eq!(plan(waiting), 300_000);
+}
--- a/crates/gateway/tests/common/router.rs
+++ b/crates/gateway/tests/common/router.rs
@@ -5,7 +5,7 @@
     store::FakeStore,
 };
 use mallowpath_gateway::{
-    Configuration, DrawSettings, DrawTask, LocalBudgets, Reservation, Workspace,
+    Configuration, DrawSettings, DrawTask, LedgerShard, LocalBudgets, Reservation, Workspace,
 };
 use std::{sync::Arc, time::Instant};
 
@@ -34,7 +34,8 @@
             Arc::from(name),
             Arc::clone(&local_budgets),
             settings,
-        );
+        )
+        .with_shard(shard());
         task.load_ledger().await;
         Self {
             task,
@@ -70,6 +71,11 @@
     }
 }
 
+/// Returns the shard of the workspace that all tests use.
+pub fn shard() -> LedgerShard {
+    LedgerShard::of(&WORKSPACE.parse().unwrap())
+}
+
 /// Returns a configuration with the workspace that all tests use.
 pub fn configuration() -> Configuration {
     let mut configuration = Configuration::new(1);
--- a/crates/gateway/tests/common/store.rs
+++ b/crates/gateway/tests/common/store.rs
@@ -240,11 +240,13 @@
     Error::new(category, "call", "the store of a test", "no answer")
 }
 
+const BUDGETS: [&str; 8] = ["a0", "a1", "a2", "a3", "a4", "a5", "a6", "a7"];
+
 fn topic_name(topic: Topic) -> &'static str {
     match topic {
         Topic::Configuration => "configuration",
         Topic::Backends => "backends",
-        Topic::Budgets => "budgets",
+        Topic::Budgets(shard) => BUDGETS[shard.index()],
         Topic::Routers => "routers",
     }
 }
