--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,16 +11,19 @@
 //!   server
 //! * `connection`: connections of callers and pooled connections to backend servers
 //! * `version`: the [`Configuration`], one version of the routes, services and workspaces
-//! * `placement`: the [`BackendRegistry`], the choice of a backend server, the [`RetryLimiter`]
-//! * `budget`: the [`AccountLedger`] of the tokens that all routers hold, the [`DrawTask`], the
-//!   [`LocalBudgets`]
-//! * `process`: the [`Store`] and the [`StoreTransport`], start and graceful shutdown
+//! * `placement`: the [`BackendRegistry`], the [`Availability`] of a backend server and the choice
+//!   of one, the [`RetryLimiter`]
+//! * `budget`: the [`AccountLedger`] of the tokens that all routers hold, the [`DrawTask`] of each
+//!   [`LedgerShard`], the [`LocalBudgets`], reservations at other routers by the [`KeeperClient`]
+//! * `process`: the [`Store`] and the [`StoreTransport`], the [`RouterDirectory`], start and
+//!   graceful shutdown
 //!
 //! # Budgets
 //!
 //! The store holds an [`Account`] for each router, with the tokens that the router holds of each
 //! budget. A router spends the tokens that it holds without coordination, so no budget is overspent
-//! during a network partition.
+//! during a network partition. Tokens that many routers hold are of little use to each, so one
+//! router keeps each budget and the others reserve there; if it does not answer, another one does.
 //!
 //! ```
 //! use mallowpath_gateway::{Account, AccountLedger, DrawSettings, Holding, plan_account};
--- a/crates/gateway/src/process/follow_topic.rs
+++ b/crates/gateway/src/process/follow_topic.rs
@@ -49,47 +49,53 @@
             None => (store.newest)(topic).await,
             Some(offset) => (store.read)(topic, offset, wait_ms).await,
         };
-        match result {
-            Ok(page) => {
-                failures = 0;
-                let change = generations.observe(page.generation);
-                if change == GenerationChange::Restored {
-                    log::warn!(
-                        target: "store",
-                        "topic {topic:?} was restored from an older copy, generation {}", generations.current()
-                    );
-                    is_restored = true;
-                }
-                if change == GenerationChange::Outdated {
-                    log::warn!(target: "store", "discarding an answer of an earlier generation: {topic:?}");
-                    sleep(Duration::from_millis(READ_BACKOFF.min_ms)).await;
-                    continue;
-                }
-                if is_restored && from.is_some() {
-                    // The offset belongs to another generation than the records of the page.
-                    from = None;
-                    continue;
-                }
-                let update = match from {
-                    None => TopicUpdate::Snapshot {
-                        records: page.records,
-                        is_restored: std::mem::take(&mut is_restored),
-                    },
-                    Some(_) => TopicUpdate::Records(page.records),
-                };
-                apply(update);
-                from = Some(page.next);
-            }
+        let page = match result {
+            Ok(page) => page,
             // The store keeps the newest record of each key, so reading these again replaces the
             // dropped records.
-            Err(error) if error.category() == Category::Gone => from = None,
+            Err(error) if error.category() == Category::Gone => {
+                from = None;
+                continue;
+            }
             Err(error) => {
                 log::debug!(target: "store", "can't read topic {topic:?}, retrying: {error}");
                 apply(TopicUpdate::ReadFailed);
                 let delay_ms = READ_BACKOFF.delay_ms(failures, rand::random());
                 failures += 1;
                 sleep(Duration::from_millis(delay_ms)).await;
+                continue;
+            }
+        };
+        failures = 0;
+        match generations.observe(page.generation) {
+            GenerationChange::Same => {}
+            GenerationChange::Restored => {
+                let generation = generations.current();
+                log::warn!(
+                    target: "store",
+                    "{topic:?} was restored from an older copy, generation {generation}",
+                );
+                is_restored = true;
             }
+            GenerationChange::Outdated => {
+                log::warn!(target: "store", "discarding an outdated answer for {topic:?}");
+                sleep(Duration::from_millis(READ_BACKOFF.min_ms)).await;
+                continue;
+            }
+        }
+        if is_restored && from.is_some() {
+            // The offset belongs to another generation than the records of the page.
+            from = None;
+            continue;
         }
+        let update = match from {
+            None => TopicUpdate::Snapshot {
+                records: page.records,
+                is_restored: std::mem::take(&mut is_restored),
+            },
+            Some(_) => TopicUpdate::Records(page.records),
+        };
+        apply(update);
+        from = Some(page.next);
     }
 }
--- a/crates/gateway/src/process/watch_backends.rs
+++ b/crates/gateway/src/process/watch_backends.rs
@@ -107,12 +107,15 @@
             Ok(mut entry) => {
                 if is_restored && self.has_departed(&entry) {
                     if !self.gateway.backends.contains(&id) {
+                        // It has left since the copy was taken.
                         return;
                     }
                     entry.draining = true;
                 }
                 if entry.draining {
                     self.remember_departure(id.clone(), entry.started_at_ms);
+                } else {
+                    self.departed.remove(&id);
                 }
                 self.pending_removals.remove(&id);
                 self.gateway.insert_backend(entry);
--- a/crates/gateway/tests/restored_store.rs
+++ b/crates/gateway/tests/restored_store.rs
@@ -312,3 +312,25 @@
         prop_assert!(spent <= PREPAID, "{spent} of {PREPAID} spent");
     }
 }
+
+#[tokio::test]
+async fn server_that_drained_and_is_ready_again_stays_in_use_after_a_restore() {
+    let server = ScriptedServer::start(vec![success("hello")]).await;
+    let test = TestGateway::start(&[server.address]).await;
+    let address = server.address.to_string();
+    let leaving = format!("leaving {address}");
+    test.store.put(Topic::Backends, "b0", Some(&leaving));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(test.call("/once/", "").await.status, 503);
+    test.store.put(Topic::Backends, "b0", Some(&address));
+    sleep(Duration::from_millis(100)).await;
+    assert_eq!(test.call("/once/", "").await.status, 200);
+    test.store.copy();
+    test.store
+        .put(Topic::Backends, "other", Some("127.0.0.1:1"));
+    test.wait_until(|gateway| gateway.backends.len() == 2).await;
+    test.store.restore();
+    sleep(NOTICE_TIME).await;
+    let got = test.call("/again/", "").await;
+    assert_eq!(got.status, 200);
+}
--- a/crates/mallowpath/src/peer/wire.rs
+++ b/crates/mallowpath/src/peer/wire.rs
@@ -88,7 +88,7 @@
     /// Router to router: send configuration records from an offset on.
     #[prost(message, tag = "17")]
     FetchConfig(FetchConfig),
-    /// The answer to [`FetchConfig`].
+    /// The answer to `FetchConfig`.
     #[prost(message, tag = "18")]
     ConfigRecords(ConfigRecords),
     /// Router to sidecar: refuse from now on all requests that the fence covers.
@@ -100,7 +100,7 @@
     /// Router to the owner of a key shard, or owner to witness: an operation on keys.
     #[prost(message, tag = "21")]
     KeyCall(KeyCall),
-    /// The answer to [`KeyCall`].
+    /// The answer to `KeyCall`.
     #[prost(message, tag = "22")]
     KeyReply(KeyReply),
     /// Router to sidecar: an order for the backend server.
@@ -112,13 +112,13 @@
     /// Any call: it could not be carried out.
     #[prost(message, tag = "25")]
     CallFailed(CallFailed),
-    /// Router to sidecar: stop a request; answered by its [`AnswerEnd`].
+    /// Router to sidecar: stop a request; answered by its `AnswerEnd`.
     #[prost(message, tag = "26")]
     Stop(Stop),
     /// Router to router: report what was spent of the grants of a fenced router's keepers.
     #[prost(message, tag = "40")]
     ReportKeepers(ReportKeepers),
-    /// The answer to [`ReportKeepers`].
+    /// The answer to `ReportKeepers`.
     #[prost(message, tag = "41")]
     KeepersReport(KeepersReport),
     /// Router to router: these keepers have no open grants left.
