Append a predecessor's account anew at the start, so that what it held is known as spent

Cause: with eight shards a router that restarts and draws no more in a shard left its predecessor's account as the newest. Change: next_account appends the successor's account if the newest one is of another incarnation that held tokens.

--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -346,7 +346,13 @@
         };
         let ledger = self.ledger.lock();
         let ledger = ledger.as_ref()?;
-        let is_known = ledger.account(&self.router).is_some();
+        let known = ledger.account(&self.router);
+        let is_known = known.is_some();
+        // As long as its predecessor's account is the newest one, other routers take the tokens that
+        // it held for tokens that may come back.
+        let is_predecessor = known.is_some_and(|account| {
+            account.incarnation != self.incarnation && account.holds_tokens()
+        });
         let base = self.base_account(ledger, epoch);
         let planned = plan_account(ledger, &base, holdings, settings);
         let planned = match planned {
@@ -354,6 +360,7 @@
             planned => planned,
         };
         match planned {
+            None if is_predecessor => Some(base),
             // The store may have lost the account, so that it is appended again without a change.
             None if is_restored && is_known => Some(base),
             Some(planned) if raises_are_held && !is_restored && planned.has_grants_of(&base) => {
--- a/crates/gateway/src/budget/ledger.rs
+++ b/crates/gateway/src/budget/ledger.rs
@@ -132,9 +132,7 @@
     /// Returns the number of routers that hold tokens of any budget.
     pub fn holder_count(&self) -> usize {
         let holders = self.accounts.values();
-        holders
-            .filter(|account| account.lines.values().any(AccountLine::holds_tokens))
-            .count()
+        holders.filter(|account| account.holds_tokens()).count()
     }
 
     /// Returns the number of routers that hold tokens of the budget.
@@ -205,6 +203,11 @@
 }
 
 impl Account {
+    /// Returns whether the router held tokens of any budget when it appended the record.
+    pub(super) fn holds_tokens(&self) -> bool {
+        self.lines.values().any(AccountLine::holds_tokens)
+    }
+
     /// Returns the position of the record among those of its router.
     fn position(&self) -> (StoreGeneration, u64, u64) {
         (self.generation, self.epoch, self.sequence)
