--- a/crates/gateway/src/budget/draw_task.rs
+++ b/crates/gateway/src/budget/draw_task.rs
@@ -2,6 +2,7 @@
 
 use super::{
     draw_plan::{DrawSettings, Holding, plan_account},
+    keeper_check::KeeperCheck,
     ledger::{Account, AccountLedger},
     ledger_shard::LedgerShard,
     ledger_view::{LedgerView, back_off},
@@ -16,7 +17,6 @@
 use serde::Serialize;
 use std::{
     collections::BTreeMap,
-    fmt,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -28,14 +28,10 @@
 /// The minimum interval between two draws of a router, also while requests wait for tokens.
 pub(super) const DRAW_INTERVAL_MIN_MS: u64 = 80;
 
-/// The minimum mean interval between refills across all routers; an append takes the store 4 ms.
+/// The minimum mean interval between refills across all routers that hold tokens of a shard; an
+/// append takes the store 4 ms.
 const FLEET_DRAW_INTERVAL_MS: u64 = 8;
 
-/// The weight of the newest draw in the moving average of draw durations.
-///
-/// A draw that takes longer than the average replaces it.
-const DRAW_DURATION_WEIGHT: f64 = 0.3;
-
 /// The number of draw durations for which a full holding lasts, in addition to its horizon.
 const HORIZON_DRAWS: f64 = 2.0;
 
@@ -61,10 +57,6 @@
     draw_lock: tokio::sync::Mutex<()>,
 }
 
-/// Returns whether this router keeps the budget of a workspace.
-#[derive(Clone)]
-struct KeeperCheck(Arc<dyn Fn(&WorkspaceId) -> bool + Send + Sync>);
-
 /// The log line of an applied draw or return.
 #[derive(Debug, Serialize)]
 struct DrawLine {
@@ -76,12 +68,6 @@
     changed: BTreeMap<WorkspaceId, [u64; 5]>,
 }
 
-impl fmt::Debug for KeeperCheck {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("KeeperCheck").finish_non_exhaustive()
-    }
-}
-
 impl DrawTask {
     /// Creates the task of `router`, which is the key of its account.
     pub fn new(
@@ -99,7 +85,7 @@
             settings,
             incarnation: rand::random(),
             restore_suspected: AtomicBool::new(false),
-            is_keeper: KeeperCheck(Arc::new(|_| true)),
+            is_keeper: KeeperCheck::default(),
             writer: Mutex::default(),
             draw_lock: tokio::sync::Mutex::default(),
         }
@@ -119,10 +105,11 @@
         mut self,
         is_keeper: impl Fn(&WorkspaceId) -> bool + Send + Sync + 'static,
     ) -> Self {
-        self.is_keeper = KeeperCheck(Arc::new(is_keeper));
+        self.is_keeper = KeeperCheck::new(is_keeper);
         self
     }
 
+    /// Returns the settings of draws.
     pub(super) fn settings(&self) -> &DrawSettings {
         &self.settings
     }
@@ -215,7 +202,7 @@
                 .local_budgets
                 .holding(&workspace.id, prepaid, refill_below_s, now);
             holdings.push(Holding {
-                is_kept: (self.is_keeper.0)(&workspace.id),
+                is_kept: self.is_keeper.check(&workspace.id),
                 ..holding
             });
         }
@@ -266,11 +253,7 @@
         let mut writer = self.writer();
         writer.draw_started_at = None;
         if store_called {
-            let average_s =
-                writer.draw_duration_s + (took_s - writer.draw_duration_s) * DRAW_DURATION_WEIGHT;
-            // A longer draw raises the average at once, so that a slow store enlarges holdings before
-            // they run out.
-            writer.draw_duration_s = average_s.max(took_s);
+            writer.record_draw(took_s);
         }
         store_called
     }
--- a/crates/gateway/src/budget/mod.rs
+++ b/crates/gateway/src/budget/mod.rs
@@ -5,6 +5,7 @@
 mod draw_loop;
 mod draw_plan;
 mod draw_task;
+mod keeper_check;
 mod keeper_client;
 mod keeper_server;
 mod ledger;
--- a/crates/gateway/src/budget/writer_state.rs
+++ b/crates/gateway/src/budget/writer_state.rs
@@ -2,6 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+/// The weight of the newest draw in the moving average of draw durations.
+///
+/// A draw that takes longer than the average replaces it.
+const DRAW_DURATION_WEIGHT: f64 = 0.3;
+
 /// The state of this incarnation as a writer of the ledger.
 #[derive(Debug, Default)]
 pub(super) struct WriterState {
@@ -34,6 +39,16 @@
         self.raises_held_until = Some(Instant::now() + raise_hold);
     }
 
+    /// Records the duration of a draw.
+    pub(super) fn record_draw(&mut self, took_s: f64) {
+        let average_s =
+            self.draw_duration_s + (took_s - self.draw_duration_s) * DRAW_DURATION_WEIGHT;
+        // A longer draw raises the average at once, so that a slow store enlarges holdings before
+        // they run out.
+        self.draw_duration_s = average_s.max(took_s);
+    }
+
+    /// Returns whether raises are held back after a restore.
     pub(super) fn raises_are_held(&self) -> bool {
         self.raises_held_until
             .is_some_and(|until| Instant::now() < until)
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -62,7 +62,7 @@
     /// The backend server was not reached; no byte of the request was sent.
     Unreached(String),
     /// The backend server states that the request has not run.
-    NotRun,
+    NotRun(StatusCode),
     /// No valid answer to this request was received; the request may have run.
     NoValidAnswer(String),
 }
@@ -183,7 +183,7 @@
         return AttemptOutcome::NoValidAnswer("an answer to another request".to_owned());
     }
     if rejected {
-        return AttemptOutcome::NotRun;
+        return AttemptOutcome::NotRun(head.status);
     }
     if head.status.is_success() && !backend_answer.is_signed {
         return AttemptOutcome::NoValidAnswer("a success without a signature".to_owned());
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -124,7 +124,7 @@
                 AttemptOutcome::NoValidAnswer(detail) => {
                     self.handle_lost(&backend, &detail, &mut log)
                 }
-                AttemptOutcome::NotRun => self.handle_not_run(&mut log),
+                AttemptOutcome::NotRun(status) => self.handle_not_run(status, &mut log),
                 AttemptOutcome::Unreached(detail) => {
                     self.handle_unreached(&backend, &detail, &mut log)
                 }
@@ -253,8 +253,11 @@
     }
 
     /// Handles a rejection by the backend server, which has not run the request.
-    fn handle_not_run(&mut self, log: &mut RequestLog) -> NextStep {
-        log.set_failure("rejected without a run");
+    fn handle_not_run(&mut self, status: StatusCode, log: &mut RequestLog) -> NextStep {
+        log.set_failure(&format!(
+            "rejected without a run, status {}",
+            status.as_u16()
+        ));
         self.sent_count += 1;
         if !self.may_have_run {
             self.reason = Reason::Rejected;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -351,7 +351,7 @@
                 );
                 attempts.count_sent();
             }
-            AttemptOutcome::NotRun => attempts.count_sent(),
+            AttemptOutcome::NotRun(_) => attempts.count_sent(),
         }
         if !attempts.acquire_retry() {
             return (attempts, log, None);
--- a/crates/gateway/tests/common/server.rs
+++ b/crates/gateway/tests/common/server.rs
@@ -98,6 +98,16 @@
     ))
 }
 
+/// Returns the text of the events with these numbers, as [`ScriptStep::Event`] writes them.
+pub fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
+    let mut text = String::new();
+    for number in numbers {
+        let event = format!("id: {number}\ndata: word{number}\n\n");
+        text.push_str(&event);
+    }
+    text
+}
+
 /// Returns a step that writes a signed answer with status 200.
 pub fn success(body: &str) -> ScriptStep {
     answer("200 OK", "x-signature: s\r\n", body)
--- a/crates/gateway/tests/regression_trickling_stream.rs
+++ b/crates/gateway/tests/regression_trickling_stream.rs
@@ -5,21 +5,12 @@
 
 use common::{
     gateway::{TestGateway, read_answer, send},
-    server::{ScriptStep, ScriptedServer},
+    server::{ScriptStep, ScriptedServer, events},
 };
 use mallowpath_gateway::Topic;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
-    let mut text = String::new();
-    for number in numbers {
-        let event = format!("id: {number}\ndata: word{number}\n\n");
-        text.push_str(&event);
-    }
-    text
-}
-
 #[tokio::test]
 async fn stream_that_trickles_an_event_is_resumed_elsewhere() {
     let mut steps = vec![ScriptStep::StreamHead, ScriptStep::Event(1)];
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -5,22 +5,13 @@
 
 use common::{
     gateway::{Answer, TestGateway, read_answer, send},
-    server::{ScriptStep, ScriptedServer, header},
+    server::{ScriptStep, ScriptedServer, events, header},
 };
 use mallowpath_gateway::{EventError, EventSplitter, Topic};
 use proptest::prelude::*;
 use std::{sync::atomic::Ordering, time::Duration};
 use tokio::time::sleep;
 
-fn events(numbers: std::ops::RangeInclusive<u64>) -> String {
-    let mut text = String::new();
-    for number in numbers {
-        let event = format!("id: {number}\ndata: word{number}\n\n");
-        text.push_str(&event);
-    }
-    text
-}
-
 fn stream(numbers: std::ops::RangeInclusive<u64>, end: ScriptStep) -> Vec<ScriptStep> {
     let mut steps = vec![ScriptStep::StreamHead];
     for number in numbers {
