--- a/crates/gateway/src/placement/backend.rs
+++ b/crates/gateway/src/placement/backend.rs
@@ -145,6 +145,11 @@
         self.release_prefill_tokens();
     }
 
+    /// Returns whether the answer has begun.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
     fn release_prefill_tokens(&mut self) {
         let tokens = std::mem::take(&mut self.prefill_tokens);
         self.backend
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -12,7 +12,7 @@
     headers::strip_connection_headers,
     message_heads::CallerRequest,
     rejection::Rejection,
-    request_log::{Reason, RequestLog},
+    request_log::{AnswerProgress, Reason, RequestLog},
     stream::{StreamAnswer, StreamSettings},
 };
 use crate::{
@@ -122,7 +122,7 @@
                     self.receive_whole(&backend, *started, &mut log).await
                 }
                 AttemptOutcome::NoValidAnswer(detail) => {
-                    self.handle_lost(&backend, &detail, &mut log)
+                    self.handle_lost(&backend, &detail, AnswerProgress::Nothing, &mut log)
                 }
                 AttemptOutcome::NotRun(status) => self.handle_not_run(status, &mut log),
                 AttemptOutcome::Unreached(detail) => {
@@ -189,8 +189,15 @@
     }
 
     /// Logs a failed attempt and counts it as a failure of the backend server.
-    pub(super) fn record_failure(&self, backend: &Backend, detail: &str, log: &mut RequestLog) {
+    pub(super) fn record_failure(
+        &self,
+        backend: &Backend,
+        detail: &str,
+        progress: AnswerProgress,
+        log: &mut RequestLog,
+    ) {
         log.set_failure(detail);
+        log.set_progress(progress, &self.caller_request.prompt);
         self.gateway
             .backends
             .record_failure(backend, self.gateway.now_ms());
@@ -214,7 +221,8 @@
         log: &mut RequestLog,
     ) -> NextStep {
         let Some((head, body)) = read_whole(started, self.outgoing_request.deadline).await else {
-            return self.handle_lost(backend, "the answer broke off", log);
+            let detail = "the answer broke off";
+            return self.handle_lost(backend, detail, AnswerProgress::Head, log);
         };
         let now_ms = self.gateway.now_ms();
         let failed = head.status.is_server_error();
@@ -236,8 +244,14 @@
     }
 
     /// Handles an attempt without a valid answer, which may have run.
-    fn handle_lost(&mut self, backend: &Backend, detail: &str, log: &mut RequestLog) -> NextStep {
-        self.record_failure(backend, detail, log);
+    fn handle_lost(
+        &mut self,
+        backend: &Backend,
+        detail: &str,
+        progress: AnswerProgress,
+        log: &mut RequestLog,
+    ) -> NextStep {
+        self.record_failure(backend, detail, progress, log);
         self.sent_count += 1;
         self.may_have_run = true;
         self.reason = if Instant::now() >= self.outgoing_request.deadline {
@@ -276,7 +290,7 @@
         detail: &str,
         log: &mut RequestLog,
     ) -> NextStep {
-        self.record_failure(backend, detail, log);
+        self.record_failure(backend, detail, AnswerProgress::Nothing, log);
         self.connect_failures += 1;
         if self.connect_failures < CONNECT_FAILURES_MAX {
             NextStep::Retry
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -1,5 +1,6 @@
 //! The log line of a request, which states its outcome.
 
+use super::message_heads::PromptPart;
 use mallowpath::WorkspaceId;
 use serde::Serialize;
 use std::{sync::Arc, time::Instant};
@@ -62,6 +63,20 @@
     backend: Arc<str>,
     after_ms: u64,
     failure: Option<Arc<str>>,
+    /// How far the answer had come when the attempt failed.
+    progress: Option<AnswerProgress>,
+}
+
+/// How far the answer to an attempt had come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum AnswerProgress {
+    /// Nothing of the answer was received.
+    Nothing,
+    /// The head was received but no complete event, or not the whole body.
+    Head,
+    /// At least one complete event was received.
+    Events,
 }
 
 #[derive(Debug, Serialize)]
@@ -85,6 +100,9 @@
     spent: u64,
     events: u64,
     resumed: u32,
+    /// The parts of the prompt in hexadecimal, if an attempt failed.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    prompt: Vec<String>,
 }
 
 impl RequestLog {
@@ -108,6 +126,7 @@
                 spent: 0,
                 events: 0,
                 resumed: 0,
+                prompt: Vec::new(),
             },
         }
     }
@@ -137,6 +156,7 @@
             backend: Arc::from(backend),
             after_ms: millis_since(self.started),
             failure: None,
+            progress: None,
         });
     }
 
@@ -147,6 +167,19 @@
         }
     }
 
+    /// Sets how far the answer to the last attempt had come when it failed, and the parts of the
+    /// prompt.
+    pub(crate) fn set_progress(&mut self, progress: AnswerProgress, prompt: &[PromptPart]) {
+        if let Some(last) = self.line.attempts.last_mut() {
+            last.progress = Some(progress);
+        }
+        if self.line.prompt.is_empty() {
+            for part in prompt {
+                self.line.prompt.push(format!("{:x}", part.id));
+            }
+        }
+    }
+
     pub(crate) fn set_detail(&mut self, detail: &str) {
         self.line.detail = Some(Arc::from(detail));
     }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -9,7 +9,7 @@
     attempts::RequestAttempts,
     events::EventSplitter,
     message_heads::TokenCount,
-    request_log::{Reason, RequestLog},
+    request_log::{AnswerProgress, Reason, RequestLog},
 };
 use crate::{budget::Reservation, connection::BackendConnection, placement::InFlight};
 use bytes::Bytes;
@@ -269,7 +269,8 @@
             return false;
         };
         if let Source::Open(open) = &self.source {
-            attempts.record_failure(open.in_flight.backend(), detail, &mut log);
+            let progress = open.progress();
+            attempts.record_failure(open.in_flight.backend(), detail, progress, &mut log);
         }
         log.add_resume();
         self.splitter.drop_partial();
@@ -309,8 +310,22 @@
         Step::Ended
     }
 
+    /// Logs the failure of the backend server whose stream broke off and is not resumed.
+    fn log_broken_source(&mut self, detail: &str) {
+        let (Source::Open(open), Some(attempts), Some(log)) =
+            (&self.source, &self.attempts, &mut self.log)
+        else {
+            return;
+        };
+        log.set_failure(detail);
+        log.set_progress(open.progress(), &attempts.caller_request.prompt);
+    }
+
     /// Breaks off the stream, so that the caller does not take it for complete.
     fn break_off(&mut self, reason: Reason, detail: &str) -> Step {
+        if reason == Reason::StreamBroken {
+            self.log_broken_source(detail);
+        }
         self.source = Source::Ended;
         self.reservation = None;
         if let Some(log) = &mut self.log {
@@ -342,13 +357,16 @@
                 attempts.count_sent();
                 return (attempts, log, Some(*started));
             }
-            AttemptOutcome::Unreached(error) => attempts.record_failure(&backend, &error, &mut log),
-            AttemptOutcome::StartedAnswer(_) | AttemptOutcome::NoValidAnswer(_) => {
-                attempts.record_failure(
-                    &backend,
-                    "the backend server did not resume the stream",
-                    &mut log,
-                );
+            AttemptOutcome::Unreached(detail) => {
+                attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
+            }
+            AttemptOutcome::StartedAnswer(_) => {
+                let detail = "the answer to the resumption is not a stream";
+                attempts.record_failure(&backend, detail, AnswerProgress::Head, &mut log);
+                attempts.count_sent();
+            }
+            AttemptOutcome::NoValidAnswer(detail) => {
+                attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
                 attempts.count_sent();
             }
             AttemptOutcome::NotRun(_) => attempts.count_sent(),
@@ -368,6 +386,15 @@
             idle_timeout_ms: started.backend_answer.idle_timeout_ms,
         }
     }
+
+    /// Returns how far the answer of this backend server has come.
+    fn progress(&self) -> AnswerProgress {
+        if self.in_flight.has_begun() {
+            AnswerProgress::Events
+        } else {
+            AnswerProgress::Head
+        }
+    }
 }
 
 impl Drop for StreamAnswer {
