--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -5,7 +5,7 @@
 use mallowpath::{Error, Result};
 use mallowpath_gateway::{
     AnswerKind, BackendAnswer, BackendEntry, BackendRequestHead, CallerRequest, Configuration,
-    Decoders, DrawSettings, Gateway, GatewaySettings, HeadCodec, ListenSettings,
+    Decoders, DrawSettings, Gateway, GatewaySettings, HeadCodec, ListenSettings, PromptPart,
     RetryLimiterSettings, Route, RouteKind, ServiceConfig, ServiceWeight, StoreTransport,
     TokenCount, Topic, Workspace,
 };
@@ -221,11 +221,21 @@
         api_key: text(headers, "x-key").map(Arc::from),
         deadline_ms: text(headers, "x-deadline").and_then(|text| text.parse().ok()),
         tokens,
-        prompt: Vec::new(),
+        prompt: text(headers, "x-prompt").map_or_else(Vec::new, read_prompt),
         last_event_id: text(headers, "x-last").and_then(|text| text.parse().ok()),
     }
 }
 
+/// Reads the parts of a prompt, as numbers separated by spaces.
+fn read_prompt(text: &str) -> Vec<PromptPart> {
+    let mut parts = Vec::new();
+    for id in text.split(' ') {
+        let id = id.parse().unwrap();
+        parts.push(PromptPart { id, tokens: 10 });
+    }
+    parts
+}
+
 fn write_request_head(headers: &mut HeaderMap, request_head: &BackendRequestHead<'_>) {
     headers.remove("x-key");
     headers.insert("x-backend", request_head.backend.as_str().parse().unwrap());
--- a/crates/gateway/tests/common/server.rs
+++ b/crates/gateway/tests/common/server.rs
@@ -173,7 +173,7 @@
 }
 
 /// Reads one request and returns its head in lower case.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<String> {
+pub async fn read_request(stream: &mut TcpStream) -> std::io::Result<String> {
     let mut bytes = Vec::new();
     let head_end = loop {
         if let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
