--- a/crates/gateway/src/budget/keeper_client.rs
+++ b/crates/gateway/src/budget/keeper_client.rs
@@ -203,6 +203,24 @@
         }
     }
 
+    /// Sends a message that expects no answer to all reachable routers.
+    pub(crate) fn broadcast(self: &Arc<Self>, body: &FrameBody) {
+        for router in self.directory.reachable_peers() {
+            let client = Arc::clone(self);
+            let body = body.clone();
+            tokio::spawn(async move {
+                match client.dialer.link(router.address).await {
+                    Ok(link) => link.send_oneway(body).await,
+                    Err(error) => log::debug!(
+                        target: "router",
+                        "can't send a message to {}: {error}",
+                        router.name,
+                    ),
+                }
+            });
+        }
+    }
+
     /// Returns a message that reserves nothing.
     fn probe_message(&self, number: u64) -> ReserveTokens {
         ReserveTokens {
--- a/crates/gateway/src/budget/keeper_server.rs
+++ b/crates/gateway/src/budget/keeper_server.rs
@@ -4,7 +4,10 @@
     remote_reservations::{RemoteReservations, ReservationKey},
     reserve::{ReserveError, TokenRequest, reserve_drawn, reserve_held},
 };
-use crate::process::{Gateway, Phase};
+use crate::{
+    process::{Gateway, Phase},
+    quarantine::{handle_crash_notice, handle_parts_cleared},
+};
 use mallowpath::{
     FrameBody, ReserveAnswerKind, ReserveReply, ReserveTokens, Responder, SettleTokens, WorkspaceId,
 };
@@ -20,6 +23,8 @@
 /// Handles a message of another router.
 pub(crate) fn handle_peer_message(gateway: &Arc<Gateway>, body: FrameBody, responder: Responder) {
     match body {
+        FrameBody::CrashNotice(notice) => handle_crash_notice(gateway, notice),
+        FrameBody::PartsCleared(notice) => handle_parts_cleared(gateway, &notice),
         FrameBody::ReserveTokens(message) => {
             tokio::spawn(reserve(Arc::clone(gateway), message, responder));
         }
--- a/crates/gateway/src/placement/backend.rs
+++ b/crates/gateway/src/placement/backend.rs
@@ -12,7 +12,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// The registration of a backend server.
@@ -145,6 +145,11 @@
         self.release_prefill_tokens();
     }
 
+    /// Returns the time since the request was sent.
+    pub fn elapsed(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
+
     /// Returns whether the answer has begun.
     pub fn has_begun(&self) -> bool {
         self.has_begun
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -12,6 +12,7 @@
     store_transport::StoreTransport,
     watch::{Decoders, watch_configuration},
     watch_backends::watch_backends,
+    watch_quarantine::{store_quarantine, watch_quarantine},
     watch_routers::watch_routers,
 };
 use crate::{
@@ -21,6 +22,7 @@
     },
     connection::{CallerConnections, serve_callers},
     placement::{BackendEntry, BackendRegistry, RetryLimiter, RetryLimiterSettings},
+    quarantine::{AnnouncedParts, CrashChecks, SharedQuarantine, run_evaluation},
     request::{HeadCodec, StateAges},
     version::{CallerLimits, Configuration},
 };
@@ -74,6 +76,11 @@
     pub(crate) keeper_client: Arc<KeeperClient>,
     /// Reservations of other routers at the budgets that this router keeps.
     pub remote_reservations: RemoteReservations,
+    /// The prompt parts that end backend servers.
+    pub(crate) quarantine: SharedQuarantine,
+    pub(crate) crash_checks: CrashChecks,
+    /// Prompt parts that were lately announced as harmless, here or elsewhere.
+    pub(crate) announced_parts: AnnouncedParts,
     /// Identifies this process to other routers.
     hello: Hello,
     pub(crate) callers: Arc<CallerConnections>,
@@ -155,6 +162,9 @@
             store.clone(),
             decoders,
         ));
+        tokio::spawn(watch_quarantine(Arc::clone(&gateway), store.clone()));
+        tokio::spawn(store_quarantine(Arc::clone(&gateway), store.clone()));
+        tokio::spawn(run_evaluation(Arc::clone(&gateway)));
         tokio::spawn(watch_routers(Arc::clone(&gateway), store));
         serve_peers(&gateway, peers);
         tokio::spawn(run_expiry(Arc::clone(&gateway)));
@@ -193,6 +203,9 @@
             keeper_client: KeeperClient::new(Arc::clone(&directory), hello.clone()),
             directory,
             remote_reservations: RemoteReservations::default(),
+            quarantine: SharedQuarantine::default(),
+            crash_checks: CrashChecks::default(),
+            announced_parts: AnnouncedParts::default(),
             hello,
             callers: Arc::default(),
             transport,
@@ -381,9 +394,15 @@
         metrics::gauge!("gateway_backends").set(self.backends.len() as f64);
         metrics::gauge!("gateway_unreachable_routers")
             .set(self.directory.unreachable_count() as f64);
+        metrics::gauge!("gateway_quarantined_parts").set(self.quarantine.lock().len() as f64);
         metrics::gauge!("gateway_remote_reservations").set(self.remote_reservations.len() as f64);
     }
 
+    fn quarantined_parts(&self) -> Vec<String> {
+        let parts = self.quarantine.lock().parts();
+        parts.iter().map(ToString::to_string).collect()
+    }
+
     fn dump(&self) -> serde_json::Value {
         let configuration = self.configuration();
         serde_json::json!({
@@ -398,6 +417,7 @@
             "routers": self.directory.router_count(),
             "unreachable_routers": self.directory.unreachable_count(),
             "remote_reservations": self.remote_reservations.len(),
+            "quarantined_parts": self.quarantined_parts(),
             "ledger_ends": self.budgets.ends(),
         })
     }
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod store_transport;
 mod watch;
 mod watch_backends;
+mod watch_quarantine;
 mod watch_routers;
 
 pub use gateway::{Gateway, Phase};
--- a/crates/gateway/src/process/router_directory.rs
+++ b/crates/gateway/src/process/router_directory.rs
@@ -116,6 +116,20 @@
         names
     }
 
+    /// Returns the other routers that are reachable.
+    pub fn reachable_peers(&self) -> Vec<PeerRouter> {
+        let mut peers = Vec::new();
+        for (name, router) in &self.lock().routers {
+            if router.is_reachable {
+                peers.push(PeerRouter {
+                    name: Arc::clone(name),
+                    address: router.address,
+                });
+            }
+        }
+        peers
+    }
+
     /// Returns the number of other routers that are not reachable.
     pub fn unreachable_count(&self) -> usize {
         let state = self.lock();
--- a/crates/gateway/src/process/store.rs
+++ b/crates/gateway/src/process/store.rs
@@ -22,6 +22,8 @@
     Budgets(LedgerShard),
     /// The addresses of the routers.
     Routers,
+    /// The quarantined prompt parts.
+    Quarantine,
 }
 
 /// A record of a topic.
--- /dev/null
+++ b/crates/gateway/src/quarantine/crash_check.rs
@@ -0,0 +1,122 @@
+//! Finds out whether a backend server has ended after an answer broke off.
+
+use super::{
+    crash_evidence::{CrashReport, SuspectRequest},
+    notices::announce_crash,
+    part_id::{PartId, shared_part_ids},
+};
+use crate::{placement::Backend, process::Gateway, request::PromptPart};
+use mallowpath::{BackendId, rendezvous_key};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+/// Time in which the answers of all requests to the backend server break off.
+const COLLECTION_TIME: Duration = Duration::from_millis(20);
+
+/// Timeout of the connection that shows whether the backend server still runs.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The maximum number of suspects in one report.
+const SUSPECTS_MAX: usize = 16;
+
+/// An answer that broke off before the first event, or a whole answer that broke off.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BrokenAnswer<'a> {
+    /// The prompt of the request.
+    pub(crate) prompt: &'a [PromptPart],
+    /// Whether the head of the answer was received.
+    pub(crate) answer_began: bool,
+}
+
+/// The backend servers that are being checked, with the requests whose answers broke off.
+#[derive(Debug, Default)]
+pub(crate) struct CrashChecks {
+    /// No other lock is acquired while this one is held.
+    suspects: Mutex<HashMap<BackendId, Vec<SuspectRequest>>>,
+}
+
+impl CrashChecks {
+    /// Adds a suspect; returns whether it is the first one of its backend server.
+    fn add(&self, backend: &BackendId, suspect: SuspectRequest) -> bool {
+        let mut suspects = self.lock();
+        let known = suspects.entry(backend.clone()).or_default();
+        known.push(suspect);
+        known.len() == 1
+    }
+
+    /// Removes and returns the suspects of a backend server, those whose answers had begun first.
+    fn take(&self, backend: &BackendId) -> Vec<SuspectRequest> {
+        let mut suspects = self.lock().remove(backend).unwrap_or_default();
+        suspects.sort_by_key(|suspect| !suspect.answer_began);
+        suspects.truncate(SUSPECTS_MAX);
+        suspects
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, Vec<SuspectRequest>>> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Reports a crash to all routers if `backend` has ended.
+pub(crate) fn check_for_crash(gateway: &Arc<Gateway>, backend: &Backend, broken: BrokenAnswer<'_>) {
+    let parts = shared_part_ids(broken.prompt);
+    if parts.is_empty() {
+        return;
+    }
+    let suspect = SuspectRequest {
+        prompt_hash: prompt_hash(broken.prompt),
+        parts,
+        answer_began: broken.answer_began,
+    };
+    if gateway.crash_checks.add(&backend.entry.id, suspect) {
+        let id = backend.entry.id.clone();
+        let address = backend.entry.address;
+        tokio::spawn(report_crash(Arc::clone(gateway), id, address));
+    }
+}
+
+async fn report_crash(gateway: Arc<Gateway>, backend: BackendId, address: SocketAddr) {
+    sleep(COLLECTION_TIME).await;
+    let has_ended = refuses_connections(address).await;
+    let suspects = gateway.crash_checks.take(&backend);
+    if !has_ended {
+        return;
+    }
+    let begun = suspects.iter().filter(|suspect| suspect.answer_began);
+    log::warn!(
+        target: "quarantine",
+        "{backend} has ended; answers had begun to prompts with the parts {:?}",
+        begun.map(|suspect| part_list(&suspect.parts)).collect::<Vec<_>>(),
+    );
+    metrics::counter!("gateway_backend_crashes_total").increment(1);
+    let report = CrashReport { backend, suspects };
+    announce_crash(&gateway, &report);
+    gateway.quarantine.record_crash(report, gateway.now_ms());
+}
+
+/// Returns whether nothing accepts connections at `address` although its host answers.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
+fn prompt_hash(prompt: &[PromptPart]) -> u64 {
+    let parts: Vec<PartId> = prompt.iter().map(|part| PartId(part.id)).collect();
+    rendezvous_key(&part_list(&parts))
+}
+
+fn part_list(parts: &[PartId]) -> String {
+    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    names.join(",")
+}
--- /dev/null
+++ b/crates/gateway/src/quarantine/notices.rs
@@ -0,0 +1,85 @@
+//! Tells the other routers about crashes and about prompt parts that are harmless.
+
+use super::{
+    crash_evidence::{CrashReport, SuspectRequest},
+    part_id::PartId,
+};
+use crate::process::Gateway;
+use mallowpath::{CrashNotice, FrameBody, PartsCleared, SuspectNotice};
+use std::{sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+/// The longest random delay of a notice about harmless parts, within which another router's notice
+/// makes it needless.
+const CLEARED_DELAY_MAX_MS: u64 = 100;
+
+/// Reports a crash to all routers.
+pub(super) fn announce_crash(gateway: &Arc<Gateway>, report: &CrashReport) {
+    let mut suspects = Vec::with_capacity(report.suspects.len());
+    for suspect in &report.suspects {
+        suspects.push(SuspectNotice {
+            prompt_hash: suspect.prompt_hash,
+            parts: suspect.parts.iter().map(|part| part.0).collect(),
+            answer_began: suspect.answer_began,
+        });
+    }
+    let notice = CrashNotice {
+        backend: report.backend.to_string(),
+        suspects,
+    };
+    gateway
+        .keeper_client
+        .broadcast(&FrameBody::CrashNotice(notice));
+}
+
+/// Reports to all routers that requests with these parts, sent at `sent_at_ms`, were answered
+/// completely, unless another router does so first.
+pub(super) fn announce_cleared(gateway: &Arc<Gateway>, parts: Vec<PartId>, sent_at_ms: u64) {
+    let gateway = Arc::clone(gateway);
+    tokio::spawn(async move {
+        let delay_ms = rand::random_range(0..CLEARED_DELAY_MAX_MS);
+        sleep(Duration::from_millis(delay_ms)).await;
+        let now_ms = gateway.now_ms();
+        let mut parts = parts;
+        parts.retain(|part| gateway.announced_parts.try_announce(*part, now_ms));
+        if parts.is_empty() {
+            return;
+        }
+        let notice = PartsCleared {
+            parts: parts.iter().map(|part| part.0).collect(),
+            sent_ago_ms: now_ms.saturating_sub(sent_at_ms),
+        };
+        gateway
+            .keeper_client
+            .broadcast(&FrameBody::PartsCleared(notice));
+    });
+}
+
+/// Applies another router's report of a crash.
+pub(crate) fn handle_crash_notice(gateway: &Gateway, notice: CrashNotice) {
+    let Ok(backend) = notice.backend.parse() else {
+        log::warn!(target: "quarantine", "ignoring the end of {:?}", notice.backend);
+        return;
+    };
+    let mut suspects = Vec::with_capacity(notice.suspects.len());
+    for suspect in notice.suspects {
+        suspects.push(SuspectRequest {
+            prompt_hash: suspect.prompt_hash,
+            parts: suspect.parts.into_iter().map(PartId).collect(),
+            answer_began: suspect.answer_began,
+        });
+    }
+    let report = CrashReport { backend, suspects };
+    gateway.quarantine.record_crash(report, gateway.now_ms());
+}
+
+/// Applies another router's report that requests were answered completely.
+pub(crate) fn handle_parts_cleared(gateway: &Gateway, notice: &PartsCleared) {
+    let now_ms = gateway.now_ms();
+    let sent_at_ms = now_ms.saturating_sub(notice.sent_ago_ms);
+    for part in &notice.parts {
+        let part = PartId(*part);
+        gateway.announced_parts.record(part, now_ms);
+        gateway.quarantine.lock().clear(part, sent_at_ms, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quarantine/shared_quarantine.rs
@@ -0,0 +1,105 @@
+//! The quarantine of this router, shared by all requests of the process.
+
+use super::{
+    crash_evidence::CrashReport,
+    notices::announce_cleared,
+    part_id::PartId,
+    part_quarantine::{PartCheck, PartQuarantine},
+};
+use crate::process::Gateway;
+use mallowpath::{Candidate, pick_n};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time::sleep;
+
+/// Interval between evaluations of the evidence.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How much later each further router may try a part.
+const TRIAL_STEP_MS: u64 = 2_000;
+
+/// The number of routers that try a part at different times; the others do so with the last.
+const TRIAL_STEPS_MAX: usize = 8;
+
+/// [`PartQuarantine`] behind a mutex.
+#[derive(Debug, Default)]
+pub(crate) struct SharedQuarantine {
+    /// No other lock is acquired while this one is held.
+    quarantine: Mutex<PartQuarantine>,
+}
+
+impl SharedQuarantine {
+    /// Returns the quarantine, locked.
+    pub(crate) fn lock(&self) -> MutexGuard<'_, PartQuarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts the end of a backend server against the parts of its requests.
+    pub(crate) fn record_crash(&self, report: CrashReport, now_ms: u64) {
+        self.lock().record_crash(report, now_ms);
+    }
+
+    /// Returns whether a request that was admitted may still be sent.
+    pub(crate) fn may_send(&self, parts: &[PartId], now_ms: u64) -> bool {
+        self.lock().may_send(parts, now_ms)
+    }
+
+    /// Decides whether a request that this router has received may be sent.
+    pub(crate) fn check(&self, gateway: &Gateway, parts: &[PartId]) -> PartCheck {
+        let mut quarantine = self.lock();
+        if parts.is_empty() || quarantine.is_empty() {
+            return PartCheck::Free;
+        }
+        let routers = gateway.directory.names();
+        let own = &gateway.settings.account;
+        quarantine.check(parts, gateway.now_ms(), |part| {
+            trial_delay_ms(part, own, &routers)
+        })
+    }
+}
+
+/// Returns how much later than the first router `own` may try a part.
+fn trial_delay_ms(part: PartId, own: &str, routers: &[Arc<str>]) -> u64 {
+    let mut candidates = Vec::with_capacity(routers.len());
+    for name in routers {
+        candidates.push(Candidate { name, weight: 1.0 });
+    }
+    let order = pick_n(part.0, &candidates, TRIAL_STEPS_MAX);
+    let rank = order.iter().position(|&index| *routers[index] == *own);
+    let rank = rank.unwrap_or(TRIAL_STEPS_MAX);
+    u64::try_from(rank).unwrap_or(u64::MAX) * TRIAL_STEP_MS
+}
+
+/// Clears the parts of a request that was sent at `sent_at_ms` and was answered completely.
+pub(crate) fn record_completion(gateway: &Arc<Gateway>, parts: &[PartId], sent_at_ms: u64) {
+    if parts.is_empty() {
+        return;
+    }
+    let now_ms = gateway.now_ms();
+    let mut quarantine = gateway.quarantine.lock();
+    let cleared = quarantine.record_completion(parts, sent_at_ms, now_ms);
+    drop(quarantine);
+    if !cleared.is_empty() {
+        announce_cleared(gateway, cleared, sent_at_ms);
+    }
+}
+
+/// Convicts parts as the evidence allows; never returns.
+pub(crate) async fn run_evaluation(gateway: Arc<Gateway>) {
+    loop {
+        sleep(EVALUATION_INTERVAL).await;
+        let mut quarantine = gateway.quarantine.lock();
+        let added = quarantine.evaluate(gateway.now_ms());
+        drop(quarantine);
+        for part in added {
+            log::warn!(
+                target: "quarantine",
+                "prompt part {part} is blocked: backend servers end when they answer requests with it",
+            );
+        }
+    }
+}
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -13,6 +13,7 @@
     },
     placement::RequestTimes,
     process::{BudgetKeeper, Gateway},
+    quarantine::{PartCheck, shared_part_ids},
     version::{Configuration, Route, Workspace},
 };
 use bytes::Bytes;
@@ -101,6 +102,33 @@
     }
 }
 
+/// Rejects a request with a quarantined prompt part, which would end its backend server.
+pub(super) fn admit_parts(
+    gateway: &Gateway,
+    caller_request: &CallerRequest,
+    log: &mut RequestLog,
+) -> Result<(), Rejection> {
+    let parts = shared_part_ids(&caller_request.prompt);
+    match gateway.quarantine.check(gateway, &parts) {
+        PartCheck::Free => Ok(()),
+        PartCheck::Trial => {
+            log.set_detail("tries a quarantined prompt part");
+            Ok(())
+        }
+        PartCheck::Blocked {
+            part,
+            retry_after_ms,
+        } => {
+            log.set_detail(&format!("prompt part {part}"));
+            Err(Rejection::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Reason::Quarantined,
+                retry_after_ms,
+            ))
+        }
+    }
+}
+
 /// Rejects a request for which the unspent rest of its budget is known to be too small.
 pub(super) fn admit_budget(
     gateway: &Gateway,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -63,6 +63,8 @@
     Unreached(String),
     /// The backend server states that the request has not run.
     NotRun(StatusCode),
+    /// The connection failed before the head of an answer; the request may have run.
+    BrokenOff(String),
     /// No valid answer to this request was received; the request may have run.
     NoValidAnswer(String),
 }
@@ -118,7 +120,7 @@
     match sent {
         None => AttemptOutcome::NoValidAnswer("no answer in time".to_owned()),
         Some(SendOutcome::Unsent(error)) => AttemptOutcome::Unreached(error.to_string()),
-        Some(SendOutcome::Broken(error)) => AttemptOutcome::NoValidAnswer(error.to_string()),
+        Some(SendOutcome::Broken(error)) => AttemptOutcome::BrokenOff(error.to_string()),
         Some(SendOutcome::Answered(response)) => {
             classify_answer(gateway, outgoing_request, response, connection, in_flight)
         }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -7,7 +7,8 @@
 use super::{
     answer::AnswerBody,
     attempt::{
-        AttemptOutcome, AttemptTarget, OutgoingRequest, StartedAnswer, read_whole, send_attempt,
+        AttemptOutcome, AttemptTarget, OutgoingRequest, StartedAnswer, millis, read_whole,
+        send_attempt,
     },
     headers::strip_connection_headers,
     message_heads::CallerRequest,
@@ -17,8 +18,9 @@
 };
 use crate::{
     budget::Reservation,
-    placement::{Backend, BackendQuery},
+    placement::{Backend, BackendQuery, InFlight},
     process::Gateway,
+    quarantine::{BrokenAnswer, PartId, check_for_crash, record_completion, shared_part_ids},
     version::{Route, RouteKind},
 };
 use bytes::Bytes;
@@ -43,6 +45,8 @@
     pub(super) caller_request: CallerRequest,
     pub(super) outgoing_request: OutgoingRequest,
     service: ServiceId,
+    /// The parts of the prompt that other prompts may have in common.
+    shared_parts: Vec<PartId>,
     /// The backend servers that were chosen so far, reached or not.
     tried: Vec<BackendId>,
     /// The number of attempts in which the request was sent.
@@ -77,6 +81,7 @@
         Self {
             gateway,
             route,
+            shared_parts: shared_part_ids(&caller_request.prompt),
             caller_request,
             outgoing_request,
             service,
@@ -121,6 +126,10 @@
                 AttemptOutcome::StartedAnswer(started) => {
                     self.receive_whole(&backend, *started, &mut log).await
                 }
+                AttemptOutcome::BrokenOff(detail) => {
+                    self.suspect_crash(&backend, AnswerProgress::Nothing);
+                    self.handle_lost(&backend, &detail, AnswerProgress::Nothing, &mut log)
+                }
                 AttemptOutcome::NoValidAnswer(detail) => {
                     self.handle_lost(&backend, &detail, AnswerProgress::Nothing, &mut log)
                 }
@@ -147,6 +156,11 @@
             random: rand::random(),
         };
         let now_ms = self.gateway.now_ms();
+        let quarantine = &self.gateway.quarantine;
+        if !quarantine.may_send(&self.shared_parts, now_ms) {
+            self.reason = Reason::Quarantined;
+            return None;
+        }
         let chosen = self.gateway.backends.choose(&query, &self.tried, now_ms)?;
         let id = &chosen.0.entry.id;
         log.add_attempt(id.as_str());
@@ -203,6 +217,30 @@
             .record_failure(backend, self.gateway.now_ms());
     }
 
+    /// Checks whether the backend server ended when it was to answer; not if it had sent events, as
+    /// it survived the beginning of this answer.
+    pub(super) fn suspect_crash(&self, backend: &Backend, progress: AnswerProgress) {
+        if progress == AnswerProgress::Events {
+            return;
+        }
+        let broken = BrokenAnswer {
+            prompt: &self.caller_request.prompt,
+            answer_began: progress == AnswerProgress::Head,
+        };
+        check_for_crash(&self.gateway, backend, broken);
+    }
+
+    /// Returns the time by the router's clock at which a request was sent.
+    pub(super) fn sent_at_ms(&self, in_flight: &InFlight) -> u64 {
+        let now_ms = self.gateway.now_ms();
+        now_ms.saturating_sub(millis(in_flight.elapsed()))
+    }
+
+    /// Records that an answer to this request, sent at `sent_at_ms`, was completed.
+    pub(super) fn record_completion(&self, sent_at_ms: u64) {
+        record_completion(&self.gateway, &self.shared_parts, sent_at_ms);
+    }
+
     /// Counts the prompt as spent.
     ///
     /// It is called before each attempt, since the request may run from then on. If the caller
@@ -220,10 +258,13 @@
         started: StartedAnswer,
         log: &mut RequestLog,
     ) -> NextStep {
+        let sent_at_ms = self.sent_at_ms(&started.in_flight);
         let Some((head, body)) = read_whole(started, self.outgoing_request.deadline).await else {
+            self.suspect_crash(backend, AnswerProgress::Head);
             let detail = "the answer broke off";
             return self.handle_lost(backend, detail, AnswerProgress::Head, log);
         };
+        self.record_completion(sent_at_ms);
         let now_ms = self.gateway.now_ms();
         let failed = head.status.is_server_error();
         if failed {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -1,7 +1,9 @@
 //! Admits a caller's request and forwards it to a backend server.
 
 use super::{
-    admission::{admit, admit_budget, admit_load, deadline, read_body, request_times, reserve},
+    admission::{
+        admit, admit_budget, admit_load, admit_parts, deadline, read_body, request_times, reserve,
+    },
     answer::AnswerBody,
     attempt::OutgoingRequest,
     attempts::RequestAttempts,
@@ -56,6 +58,7 @@
             caller_request.tokens.map_or(0, TokenCount::max_cost),
         );
     }
+    admit_parts(&gateway, &caller_request, log)?;
     let deadline = deadline(started, &route, &caller_request);
     let body = read_body(body, admitted.body_max_bytes, deadline).await?;
     let Some(service) = route.choose_service(rand::random()).cloned() else {
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -27,6 +27,8 @@
     BudgetShort,
     /// The request would be queued for too long.
     Overloaded,
+    /// A part of the prompt is quarantined, because it ends backend servers.
+    Quarantined,
     /// No backend server is available for the request.
     NoBackend,
     /// A backend server rejected the request without running it.
@@ -236,6 +238,7 @@
         Reason::BodyCutOff => "body_cut_off",
         Reason::BudgetSpent => "budget_spent",
         Reason::BudgetShort => "budget_short",
+        Reason::Quarantined => "quarantined",
         Reason::NoBackend => "no_backend",
         Reason::Rejected => "rejected",
         Reason::AnswerLost => "answer_lost",
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -177,8 +177,20 @@
         match events {
             Ok(events) if events.is_empty() => Step::Again,
             Ok(events) => Step::Events(events),
-            Err(detail) if self.try_resume(&detail) => Step::Again,
-            Err(detail) => self.break_off(Reason::StreamBroken, &detail),
+            Err(detail) => {
+                self.suspect_crash();
+                if self.try_resume(&detail) {
+                    return Step::Again;
+                }
+                self.break_off(Reason::StreamBroken, &detail)
+            }
+        }
+    }
+
+    /// Checks whether the backend server ended when it was to answer.
+    fn suspect_crash(&self) {
+        if let (Source::Open(open), Some(attempts)) = (&self.source, &self.attempts) {
+            attempts.suspect_crash(open.in_flight.backend(), open.progress());
         }
     }
 
@@ -299,6 +311,9 @@
             log.set_outcome(Reason::Delivered, 200);
         }
         if let Source::Open(open) = std::mem::replace(&mut self.source, Source::Ended) {
+            if let Some(attempts) = &self.attempts {
+                attempts.record_completion(attempts.sent_at_ms(&open.in_flight));
+            }
             let OpenStream {
                 connection,
                 in_flight,
@@ -365,6 +380,11 @@
                 attempts.record_failure(&backend, detail, AnswerProgress::Head, &mut log);
                 attempts.count_sent();
             }
+            AttemptOutcome::BrokenOff(detail) => {
+                attempts.suspect_crash(&backend, AnswerProgress::Nothing);
+                attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
+                attempts.count_sent();
+            }
             AttemptOutcome::NoValidAnswer(detail) => {
                 attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
                 attempts.count_sent();
--- a/crates/gateway/tests/common/store.rs
+++ b/crates/gateway/tests/common/store.rs
@@ -248,5 +248,6 @@
         Topic::Backends => "backends",
         Topic::Budgets(shard) => BUDGETS[shard.index()],
         Topic::Routers => "routers",
+        Topic::Quarantine => "quarantine",
     }
 }
--- a/crates/gateway/tests/regression_deadly_prompt_part.rs
+++ b/crates/gateway/tests/regression_deadly_prompt_part.rs
@@ -96,7 +96,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn deadly_part_is_refused_by_all_routers_and_sound_requests_are_served() {
     let mut fleet = Fleet::start(3, 8).await;
     fleet.crash_five_servers().await;
@@ -110,7 +109,6 @@
 }
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn router_that_starts_later_refuses_a_deadly_part() {
     let mut fleet = Fleet::start(2, 8).await;
     fleet.crash_five_servers().await;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -155,6 +155,7 @@
 pub use peer::silence_detector::{SilenceDetector, SilenceSettings};
 pub use peer::wire::{FrameBody, Heartbeat, Hello};
 pub use peer::wire_budget::{ReserveAnswerKind, ReserveReply, ReserveTokens, SettleTokens};
+pub use peer::wire_crash::{CrashNotice, PartsCleared, SuspectNotice};
 pub use process::admin::{AdminHooks, serve_admin, serve_metrics};
 pub use process::admin_client::{AdminClient, find_admin};
 pub use process::daemon::{DaemonOptions, run_daemon};
--- a/crates/mallowpath/src/peer/wire.rs
+++ b/crates/mallowpath/src/peer/wire.rs
@@ -16,6 +16,7 @@
         ReportKeepers, ReserveReply, ReserveTokens, SettleTokens, SliceAnswerKind, SliceMessage,
         SliceReply, SliceRequest, SliceReturn,
     },
+    peer::wire_crash::{CrashNotice, PartsCleared},
     peer::wire_run::{
         AnswerChunk, AnswerEnd, AnswerHead, Attach, Order, OrderOutcome, OrderReply, Refused,
         SlicePart, Stop, Submit, SubmitIdempotencyKey,
@@ -31,7 +32,7 @@
     /// The message.
     #[prost(
         oneof = "FrameBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42, 50, 51, 52"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42, 50, 51, 52, 60, 61"
     )]
     pub body: Option<FrameBody>,
 }
@@ -133,6 +134,12 @@
     /// Router to the router that keeps a budget: a reservation has ended.
     #[prost(message, tag = "52")]
     SettleTokens(SettleTokens),
+    /// Router to router: a backend server has ended.
+    #[prost(message, tag = "60")]
+    CrashNotice(CrashNotice),
+    /// Router to router: requests with these prompt parts were answered completely.
+    #[prost(message, tag = "61")]
+    PartsCleared(PartsCleared),
 }
 
 /// Identifies a process to its peer.
--- /dev/null
+++ b/crates/mallowpath/src/peer/wire_crash.rs
@@ -0,0 +1,37 @@
+//! Messages between routers about requests that may have ended backend servers.
+
+/// Reports that a backend server has ended, with the requests that may have caused it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct CrashNotice {
+    /// The incarnation of the backend server.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// Requests of the sender whose answers broke off.
+    #[prost(message, repeated, tag = "2")]
+    pub suspects: Vec<SuspectNotice>,
+}
+
+/// A request whose answer broke off when its backend server ended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SuspectNotice {
+    /// Identifies the prompt; equal prompts have equal hashes.
+    #[prost(fixed64, tag = "1")]
+    pub prompt_hash: u64,
+    /// The parts of the prompt that other prompts may have in common.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub parts: Vec<u64>,
+    /// Whether the backend server had begun to answer.
+    #[prost(bool, tag = "3")]
+    pub answer_began: bool,
+}
+
+/// Reports that requests with these prompt parts were answered completely.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PartsCleared {
+    /// The parts.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
+    /// Time since the requests were sent, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub sent_ago_ms: u64,
+}
