--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,8 +13,8 @@
 //! * `version`: the [`Configuration`], one version of the routes, services and workspaces
 //! * `placement`: the [`BackendRegistry`], the [`Availability`] of a backend server and the choice
 //!   of one, the [`RetryLimiter`]
-//! * `quarantine`: the [`PartQuarantine`] of prompt parts that end backend servers, found by the
-//!   [`CrashEvidence`] of all routers
+//! * `quarantine`: the [`PartQuarantine`](mallowpath::PartQuarantine) of prompt parts that end
+//!   backend servers, found by what all routers report
 //! * `budget`: the [`AccountLedger`] of the tokens that all routers hold, the [`DrawTask`] of each
 //!   [`LedgerShard`], the [`LocalBudgets`], reservations at other routers by the [`KeeperClient`]
 //! * `process`: the [`Store`] and the [`StoreTransport`], the [`RouterDirectory`], start and
@@ -72,9 +72,6 @@
     ReadCall, RouterDirectory, SidecarSettings, Store, StoreGeneration, StorePage, StoreRecord,
     StoreTransport, Topic, run_relay, start_json_logging,
 };
-pub use quarantine::{
-    CrashEvidence, CrashReport, PartCheck, PartId, PartQuarantine, RecordChange, SuspectRequest,
-};
 pub use request::{
     AnswerKind, BackendAnswer, BackendRequestHead, CallerRequest, EventError, EventSplitter,
     HeadCodec, PromptPart, TokenCount, strip_connection_headers,
--- a/crates/gateway/src/process/watch_quarantine.rs
+++ b/crates/gateway/src/process/watch_quarantine.rs
@@ -5,9 +5,8 @@
     gateway::Gateway,
     store::{AppendId, AppendOutcome, Store, StoreRecord, Topic},
 };
-use crate::quarantine::{PartId, RecordChange};
 use bytes::Bytes;
-use mallowpath::{Result, wall_clock_ms};
+use mallowpath::{PartId, RecordChange, Result, wall_clock_ms};
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
 
--- a/crates/gateway/src/quarantine/announced_parts.rs
+++ b/crates/gateway/src/quarantine/announced_parts.rs
@@ -1,6 +1,6 @@
 //! The prompt parts that a router has lately announced as harmless.
 
-use super::part_id::PartId;
+use mallowpath::PartId;
 use std::{
     collections::HashMap,
     sync::{Mutex, MutexGuard, PoisonError},
--- a/crates/gateway/src/quarantine/crash_check.rs
+++ b/crates/gateway/src/quarantine/crash_check.rs
@@ -1,12 +1,11 @@
 //! Finds out whether a backend server has ended after an answer broke off.
 
 use super::{
-    crash_evidence::{CrashReport, SuspectRequest},
     notices::announce_crash,
-    part_id::{PartId, shared_part_ids},
+    prompt_parts::{part_list, prompt_hash, shared_part_ids},
 };
 use crate::{placement::Backend, process::Gateway, request::PromptPart};
-use mallowpath::{BackendId, rendezvous_key};
+use mallowpath::{BackendId, CrashReport, SuspectRequest};
 use std::{
     collections::HashMap,
     io,
@@ -110,13 +109,3 @@
         Ok(Ok(_)) | Err(_) => false,
     }
 }
-
-fn prompt_hash(prompt: &[PromptPart]) -> u64 {
-    let parts: Vec<PartId> = prompt.iter().map(|part| PartId(part.id)).collect();
-    rendezvous_key(&part_list(&parts))
-}
-
-fn part_list(parts: &[PartId]) -> String {
-    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
-    names.join(",")
-}
--- a/crates/gateway/src/quarantine/notices.rs
+++ b/crates/gateway/src/quarantine/notices.rs
@@ -1,11 +1,9 @@
 //! Tells the other routers about crashes and about prompt parts that are harmless.
 
-use super::{
-    crash_evidence::{CrashReport, SuspectRequest},
-    part_id::PartId,
-};
 use crate::process::Gateway;
-use mallowpath::{CrashNotice, FrameBody, PartsCleared, SuspectNotice};
+use mallowpath::{
+    CrashNotice, CrashReport, FrameBody, PartId, PartsCleared, SuspectNotice, SuspectRequest,
+};
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
 
--- a/crates/gateway/src/quarantine/shared_quarantine.rs
+++ b/crates/gateway/src/quarantine/shared_quarantine.rs
@@ -1,13 +1,8 @@
 //! The quarantine of this router, shared by all requests of the process.
 
-use super::{
-    crash_evidence::CrashReport,
-    notices::announce_cleared,
-    part_id::PartId,
-    part_quarantine::{PartCheck, PartQuarantine},
-};
+use super::notices::announce_cleared;
 use crate::process::Gateway;
-use mallowpath::{Candidate, pick_n};
+use mallowpath::{Candidate, CrashReport, PartCheck, PartId, PartQuarantine, pick_n};
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -13,13 +13,13 @@
     },
     placement::RequestTimes,
     process::{BudgetKeeper, Gateway},
-    quarantine::{PartCheck, shared_part_ids},
+    quarantine::shared_part_ids,
     version::{Configuration, Route, Workspace},
 };
 use bytes::Bytes;
 use http::{StatusCode, request};
 use hyper::body::Incoming;
-use mallowpath::{BodyError, ServiceId};
+use mallowpath::{BodyError, PartCheck, ServiceId};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -20,12 +20,12 @@
     budget::Reservation,
     placement::{Backend, BackendQuery, InFlight},
     process::Gateway,
-    quarantine::{BrokenAnswer, PartId, check_for_crash, record_completion, shared_part_ids},
+    quarantine::{BrokenAnswer, check_for_crash, record_completion, shared_part_ids},
     version::{Route, RouteKind},
 };
 use bytes::Bytes;
 use http::{Response, StatusCode, header, response};
-use mallowpath::{BackendId, ServiceId};
+use mallowpath::{BackendId, PartId, ServiceId};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -76,6 +76,7 @@
 mod membership;
 mod peer;
 mod process;
+mod quarantine;
 mod request;
 mod routing;
 mod stream;
@@ -166,6 +167,9 @@
     read_router_settings, read_sidecar_settings,
 };
 pub use process::signal::run_until_drained;
+pub use quarantine::crash_evidence::{CrashEvidence, CrashReport, SuspectRequest};
+pub use quarantine::part_id::PartId;
+pub use quarantine::part_quarantine::{PartCheck, PartQuarantine, RecordChange};
 pub use request::body::{BodyError, read_body};
 pub use request::chat::{ChatRequest, StreamEvent, Usage};
 pub use request::concurrency::{ConcurrencyLimit, ConcurrencySettings};
--- a/crates/gateway/src/quarantine/crash_evidence.rs
+++ b/crates/mallowpath/src/quarantine/crash_evidence.rs
@@ -6,8 +6,7 @@
 //! weight, and a convicted part explains its crashes, so that parts that were only beside it don't
 //! follow.
 
-use super::part_id::PartId;
-use mallowpath::BackendId;
+use crate::{id::BackendId, quarantine::part_id::PartId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The maximum number of crashes that are kept.
@@ -235,20 +234,24 @@
     }
 }
 
-/// Returns the parts with the highest weight, if that suffices for a conviction.
+/// Returns a part with the highest weight, if that suffices for a conviction, together with those
+/// that were in the same prompts.
 fn heaviest(weights: &Weights) -> Option<BTreeSet<PartId>> {
-    let mut highest = CONVICTION_WEIGHT;
-    let mut parts = BTreeSet::new();
-    for (part, by_prompt) in weights {
+    let mut highest = CONVICTION_WEIGHT - 1;
+    let mut heaviest = None;
+    for by_prompt in weights.values() {
         let weight: u32 = by_prompt.values().sum();
-        if by_prompt.len() < PROMPTS_MIN || weight < highest {
-            continue;
-        }
-        if weight > highest {
-            parts.clear();
+        if by_prompt.len() >= PROMPTS_MIN && weight > highest {
             highest = weight;
+            heaviest = Some(by_prompt);
+        }
+    }
+    let heaviest = heaviest?;
+    let mut group = BTreeSet::new();
+    for (part, by_prompt) in weights {
+        if by_prompt == heaviest {
+            group.insert(*part);
         }
-        parts.insert(*part);
     }
-    (!parts.is_empty()).then_some(parts)
+    Some(group)
 }
--- a/crates/gateway/src/quarantine/part_quarantine.rs
+++ b/crates/mallowpath/src/quarantine/part_quarantine.rs
@@ -4,7 +4,7 @@
 //! answer ends the quarantine, a further crash renews it for longer. A completed answer to a request
 //! that was already on its way ends it, too.
 
-use super::{
+use crate::quarantine::{
     crash_evidence::{CrashEvidence, CrashReport},
     part_id::PartId,
     recent_parts::RecentParts,
--- a/crates/gateway/src/quarantine/recent_parts.rs
+++ b/crates/mallowpath/src/quarantine/recent_parts.rs
@@ -1,6 +1,6 @@
 //! The prompt parts of answers that were completed lately.
 
-use super::part_id::PartId;
+use crate::quarantine::part_id::PartId;
 use std::{collections::HashSet, mem};
 
 /// How long a part is remembered at least; at most twice as long.
