--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -64,7 +64,8 @@
 pub use placement::{
     Availability, Backend, BackendEntry, BackendQuery, BackendRegistry, Candidate, ChoiceSettings,
     ColdStartWindow, InFlight, Overload, PrefixMap, RequestTimes, RetryLimiter,
-    RetryLimiterSettings, WaitEstimator, WaitEstimatorSettings, choose, cold_rate_share,
+    RetryLimiterSettings, StatedRateLimit, WaitEstimator, WaitEstimatorSettings, choose,
+    cold_rate_share,
 };
 pub use process::{
     AppendCall, AppendId, AppendOutcome, BudgetKeeper, Decoders, Gateway, GatewaySettings,
--- a/crates/gateway/src/placement/backend.rs
+++ b/crates/gateway/src/placement/backend.rs
@@ -2,7 +2,7 @@
 
 use super::{
     availability::Availability, cold_start::ColdStartWindow,
-    shared_wait_estimator::SharedWaitEstimator,
+    shared_wait_estimator::SharedWaitEstimator, stated_rate_limit::StatedRateLimit,
 };
 use crate::connection::ConnectionPool;
 use mallowpath::{BackendId, ServiceId, Zone};
@@ -55,6 +55,9 @@
     cold_until_ms: AtomicU64,
     /// Requests sent while it is slow. No other lock is taken while this one is held.
     cold_window: Mutex<ColdStartWindow>,
+    /// The limit on requests that the backend server states. No other lock is taken while this one
+    /// is held.
+    rate_limit: Mutex<StatedRateLimit>,
     in_flight: AtomicU64,
     prefill_tokens: AtomicU64,
 }
@@ -79,6 +82,7 @@
             wait_estimator,
             cold_until_ms: AtomicU64::new(0),
             cold_window: Mutex::default(),
+            rate_limit: Mutex::default(),
             in_flight: AtomicU64::new(0),
             prefill_tokens: AtomicU64::new(0),
         })
@@ -103,6 +107,15 @@
         update(&mut window)
     }
 
+    /// Runs `update` on the limit on requests that the backend server states.
+    pub(crate) fn with_rate_limit<T>(&self, update: impl FnOnce(&mut StatedRateLimit) -> T) -> T {
+        let mut rate_limit = self
+            .rate_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        update(&mut rate_limit)
+    }
+
     /// Returns the number of this router's requests in flight to the backend server.
     pub fn in_flight(&self) -> u64 {
         self.in_flight.load(Ordering::Relaxed)
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -8,6 +8,7 @@
 mod prefix_map;
 mod retry_limiter;
 mod shared_wait_estimator;
+mod stated_rate_limit;
 mod wait_estimator;
 
 pub use availability::Availability;
@@ -17,4 +18,5 @@
 pub use cold_start::{ColdStartWindow, cold_rate_share};
 pub use prefix_map::PrefixMap;
 pub use retry_limiter::{RetryLimiter, RetryLimiterSettings};
+pub use stated_rate_limit::StatedRateLimit;
 pub use wait_estimator::{Overload, RequestTimes, WaitEstimator, WaitEstimatorSettings};
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -184,6 +184,7 @@
     if answers_other_request && (backend_answer.attempt_id.is_some() || !rejected) {
         return AttemptOutcome::NoValidAnswer("an answer to another request".to_owned());
     }
+    record_rate_limit(gateway, &in_flight, &backend_answer);
     if rejected {
         return AttemptOutcome::NotRun(head.status);
     }
@@ -229,6 +230,24 @@
     }
 }
 
+/// Records the limit on requests that an answer states, or that it states none.
+fn record_rate_limit(gateway: &Gateway, in_flight: &InFlight, backend_answer: &BackendAnswer) {
+    let backend = in_flight.backend();
+    let rate_per_s = backend_answer.rate_limit_per_s;
+    let now_ms = gateway.now_ms();
+    let sent_at_ms = now_ms.saturating_sub(millis(in_flight.elapsed()));
+    if !backend.with_rate_limit(|limit| limit.record(rate_per_s, sent_at_ms, now_ms)) {
+        return;
+    }
+    let id = &backend.entry.id;
+    match rate_per_s {
+        Some(rate_per_s) => {
+            log::info!(target: "backend", "{id} takes {rate_per_s} requests a second");
+        }
+        None => log::info!(target: "backend", "{id} no longer limits its requests"),
+    }
+}
+
 /// Reads the whole body of an answer and returns its connection to the pool.
 ///
 /// Returns `None` when the body breaks off, exceeds [`BODY_MAX_BYTES`] or is not complete at
--- a/crates/gateway/src/request/message_heads.rs
+++ b/crates/gateway/src/request/message_heads.rs
@@ -75,6 +75,9 @@
     pub not_run: bool,
     /// Whether the backend server states that it is shutting down.
     pub is_leaving: bool,
+    /// The requests per second that the backend server takes from all routers together, if it states
+    /// a limit.
+    pub rate_limit_per_s: Option<f64>,
     /// Whether the answer has the backend server's signature.
     pub is_signed: bool,
     /// The kind of the body.
--- a/crates/gateway/tests/common/gateway.rs
+++ b/crates/gateway/tests/common/gateway.rs
@@ -252,6 +252,7 @@
         attempt_id: text(headers, "x-attempt").map(Arc::from),
         not_run: headers.contains_key("x-not-run"),
         is_leaving: headers.contains_key("x-leaving"),
+        rate_limit_per_s: text(headers, "x-rate").and_then(|text| text.parse().ok()),
         is_signed: headers.contains_key("x-signature"),
         kind: match content_type {
             "text/event-stream" => AnswerKind::Stream,
