--- a/crates/gateway/src/budget/keeper_server.rs
+++ b/crates/gateway/src/budget/keeper_server.rs
@@ -9,7 +9,8 @@
     quarantine::{handle_crash_notice, handle_parts_cleared},
 };
 use mallowpath::{
-    FrameBody, ReserveAnswerKind, ReserveReply, ReserveTokens, Responder, SettleTokens, WorkspaceId,
+    FrameBody, RateLimitNotice, ReserveAnswerKind, ReserveReply, ReserveTokens, Responder,
+    SettleTokens, WorkspaceId,
 };
 use std::{
     sync::Arc,
@@ -24,6 +25,7 @@
 pub(crate) fn handle_peer_message(gateway: &Arc<Gateway>, body: FrameBody, responder: Responder) {
     match body {
         FrameBody::CrashNotice(notice) => handle_crash_notice(gateway, notice),
+        FrameBody::RateLimitNotice(notice) => apply_rate_limit(gateway, &notice),
         FrameBody::PartsCleared(notice) => handle_parts_cleared(gateway, &notice),
         FrameBody::ReserveTokens(message) => {
             tokio::spawn(reserve(Arc::clone(gateway), message, responder));
@@ -33,6 +35,23 @@
     }
 }
 
+/// Applies what another router reports about the limit on requests that a backend server states.
+fn apply_rate_limit(gateway: &Gateway, notice: &RateLimitNotice) {
+    let rate_per_s = notice
+        .rate_per_s
+        .filter(|rate_per_s| rate_per_s.is_finite() && *rate_per_s >= 0.0);
+    match notice.backend.parse() {
+        Ok(id) => gateway
+            .backends
+            .set_stated_rate(&id, rate_per_s, gateway.now_ms()),
+        Err(error) => log::warn!(
+            target: "backend",
+            "ignoring the limit of {:?}: {error}",
+            notice.backend,
+        ),
+    }
+}
+
 /// Counts reservations as spent when they expire; never returns.
 pub(crate) async fn run_expiry(gateway: Arc<Gateway>) {
     loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,7 +63,7 @@
 };
 pub use placement::{
     Availability, Backend, BackendEntry, BackendQuery, BackendRegistry, Candidate, ChoiceSettings,
-    ColdStartWindow, InFlight, Overload, PrefixMap, RequestTimes, RetryLimiter,
+    ColdStartWindow, InFlight, Overload, PrefixMap, RateSharers, RequestTimes, RetryLimiter,
     RetryLimiterSettings, StatedRateLimit, WaitEstimator, WaitEstimatorSettings, choose,
     cold_rate_share,
 };
--- a/crates/gateway/src/placement/backend_registry.rs
+++ b/crates/gateway/src/placement/backend_registry.rs
@@ -6,6 +6,7 @@
     cold_start::cold_rate_share,
     prefix_map::PrefixMap,
     shared_wait_estimator::SharedWaitEstimator,
+    stated_rate_limit::{RateSharers, StatedRateLimit},
     wait_estimator::{Overload, RequestTimes},
 };
 use crate::request::PromptPart;
@@ -230,6 +231,7 @@
         let index = choose(&candidates, &state.choice)?;
         let chosen = Arc::clone(usable[index]);
         let uncached_tokens = candidates[index].uncached_tokens;
+        chosen.with_rate_limit(StatedRateLimit::record_sent);
         if chosen.is_cold(now_ms) {
             chosen.with_cold_window(|window| window.record_sent(now_ms));
         }
@@ -302,6 +304,13 @@
         self.lock().evacuated_zones.iter().cloned().collect()
     }
 
+    /// Records what another router reports about the limit on requests that a backend server states.
+    pub fn set_stated_rate(&self, id: &BackendId, rate_per_s: Option<f64>, now_ms: u64) {
+        if let Some(backend) = self.lock().backends.get(id) {
+            backend.with_rate_limit(|limit| limit.record(rate_per_s, now_ms, now_ms));
+        }
+    }
+
     /// Records a success of a backend server for outlier ejection.
     pub fn record_success(&self, backend: &Backend, now_ms: u64) {
         if let Some(group) = self.lock().services.get_mut(&backend.entry.service) {
@@ -374,8 +383,21 @@
             && !self.is_evacuated(backend)
     }
 
-    /// Returns whether this router may send a request to a backend server that may be cold.
+    /// Returns whether this router may send a request to a backend server that may be cold or have
+    /// stated a limit.
     fn bears_request(&self, backend: &Backend, now_ms: u64) -> bool {
+        self.bears_cold_request(backend, now_ms) && self.is_within_stated_rate(backend, now_ms)
+    }
+
+    fn is_within_stated_rate(&self, backend: &Backend, now_ms: u64) -> bool {
+        let sharers = RateSharers {
+            own: &self.own_router,
+            routers: &self.routers,
+        };
+        backend.with_rate_limit(|limit| limit.allows(sharers, &backend.entry.id, now_ms))
+    }
+
+    fn bears_cold_request(&self, backend: &Backend, now_ms: u64) -> bool {
         let rate_per_s = self.cold_rates_per_s.get(&backend.entry.service);
         let Some(&rate_per_s) = rate_per_s.filter(|_| backend.is_cold(now_ms)) else {
             return true;
--- a/crates/gateway/src/placement/cold_start.rs
+++ b/crates/gateway/src/placement/cold_start.rs
@@ -4,7 +4,8 @@
 //! bears is that of all routers together. Routers share it without coordination: rendezvous hashing
 //! assigns a few routers to each backend server, and each of these sends its part of the rate.
 
-use mallowpath::{BackendId, Candidate, pick_n, rendezvous_key};
+use super::rate_share::rate_share;
+use mallowpath::BackendId;
 use std::{collections::VecDeque, sync::Arc};
 
 /// The requests per second of one router to one backend server, if there are enough routers.
@@ -22,17 +23,8 @@
     backend: &BackendId,
 ) -> u64 {
     let senders_max = whole(backend_rate_per_s / ROUTER_RATE_PER_S).max(1);
-    let mut candidates = Vec::with_capacity(routers.len());
-    for name in routers {
-        candidates.push(Candidate { name, weight: 1.0 });
-    }
-    let key = rendezvous_key(backend.as_str());
-    let senders = pick_n(key, &candidates, senders_max);
-    if !senders.iter().any(|&index| *routers[index] == *own) {
-        return 0;
-    }
-    let share = whole(backend_rate_per_s / senders.len() as f64);
-    u64::try_from(share).unwrap_or(u64::MAX)
+    let share = rate_share(backend_rate_per_s, senders_max, own, routers, backend);
+    u64::try_from(whole(share.unwrap_or(0.0))).unwrap_or(u64::MAX)
 }
 
 #[expect(
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use mallowpath::WorkspaceId;
+use mallowpath::{FrameBody, RateLimitNotice, WorkspaceId};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -246,6 +246,14 @@
         }
         None => log::info!(target: "backend", "{id} no longer limits its requests"),
     }
+    // The routers that have no share of the limit hardly hear of its end otherwise.
+    let notice = RateLimitNotice {
+        backend: id.to_string(),
+        rate_per_s,
+    };
+    gateway
+        .keeper_client
+        .broadcast(&FrameBody::RateLimitNotice(notice));
 }
 
 /// Reads the whole body of an answer and returns its connection to the pool.
--- a/crates/gateway/tests/regression_stated_rate_limit.rs
+++ b/crates/gateway/tests/regression_stated_rate_limit.rs
@@ -20,7 +20,6 @@
 const RATE_PER_S: usize = 2;
 
 #[tokio::test]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn backend_gets_no_more_requests_than_it_states_from_all_routers_together() {
     let rate = format!("x-signature: s\r\nx-rate: {RATE_PER_S}\r\n");
     let limited = ScriptedServer::start(vec![answer("200 OK", &rate, "hello")]).await;
--- a/crates/mallowpath/src/peer/mod.rs
+++ b/crates/mallowpath/src/peer/mod.rs
@@ -5,6 +5,6 @@
 pub(crate) mod link_tasks;
 pub(crate) mod silence_detector;
 pub(crate) mod wire;
+pub(crate) mod wire_backend;
 pub(crate) mod wire_budget;
-pub(crate) mod wire_crash;
 pub(crate) mod wire_run;
--- a/crates/mallowpath/src/peer/wire.rs
+++ b/crates/mallowpath/src/peer/wire.rs
@@ -11,12 +11,12 @@
     stream::record_id::RecordId,
 };
 pub use crate::{
+    peer::wire_backend::{CrashNotice, PartsCleared, RateLimitNotice},
     peer::wire_budget::{
         BillsLogged, FenceReply, GrantTokens, KeepBills, KeepersClosed, KeepersReport,
         ReportKeepers, ReserveReply, ReserveTokens, SettleTokens, SliceAnswerKind, SliceMessage,
         SliceReply, SliceRequest, SliceReturn,
     },
-    peer::wire_crash::{CrashNotice, PartsCleared},
     peer::wire_run::{
         AnswerChunk, AnswerEnd, AnswerHead, Attach, Order, OrderOutcome, OrderReply, Refused,
         SlicePart, Stop, Submit, SubmitIdempotencyKey,
@@ -32,7 +32,7 @@
     /// The message.
     #[prost(
         oneof = "FrameBody",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42, 50, 51, 52, 60, 61"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 40, 41, 42, 50, 51, 52, 60, 61, 62"
     )]
     pub body: Option<FrameBody>,
 }
@@ -140,6 +140,9 @@
     /// Router to router: requests with these prompt parts were answered completely.
     #[prost(message, tag = "61")]
     PartsCleared(PartsCleared),
+    /// Router to router: a backend server states a limit on its requests, or no longer.
+    #[prost(message, tag = "62")]
+    RateLimitNotice(RateLimitNotice),
 }
 
 /// Identifies a process to its peer.
--- a/crates/mallowpath/src/peer/wire_crash.rs
+++ b/crates/mallowpath/src/peer/wire_backend.rs
@@ -1,4 +1,4 @@
-//! Messages between routers about requests that may have ended backend servers.
+//! Messages between routers about what they have learned of backend servers.
 
 /// Reports that a backend server has ended, with the requests that may have caused it.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -35,3 +35,14 @@
     #[prost(uint64, tag = "2")]
     pub sent_ago_ms: u64,
 }
+
+/// Reports the limit on requests that a backend server states, when it begins or ends.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct RateLimitNotice {
+    /// The incarnation of the backend server.
+    #[prost(string, tag = "1")]
+    pub backend: String,
+    /// The requests per second of all routers together; absent if there is no limit any more.
+    #[prost(double, optional, tag = "2")]
+    pub rate_per_s: Option<f64>,
+}
