--- a/crates/gateway/tests/stated_rate_limit.rs
+++ b/crates/gateway/tests/stated_rate_limit.rs
@@ -29,7 +29,7 @@
                 own,
                 routers: &routers,
             };
-            if limit.allows(sharers, &backend, now_ms) {
+            while limit.allows(sharers, &backend, now_ms) {
                 limit.record_sent();
                 sent_at_ms.push(now_ms);
             }
@@ -92,7 +92,7 @@
                 limit.record(Some(rate_per_s), 0, 0);
                 // Idle for a minute, then as many requests as it allows within a window.
                 for now_ms in (60_000..60_000 + WINDOW_MS).step_by(100) {
-                    if limit.allows(sharers, &backend, now_ms) {
+                    while limit.allows(sharers, &backend, now_ms) {
                         limit.record_sent();
                         sent += 1;
                     }
