--- a/crates/mallowpath/src/quarantine/crash_evidence.rs
+++ b/crates/mallowpath/src/quarantine/crash_evidence.rs
@@ -131,6 +131,23 @@
         suspects.any(|suspect| suspect.parts.contains(&part))
     }
 
+    /// Returns whether a part is among the suspects of crashes, and each of these has a suspect with
+    /// one of `convicted`.
+    pub fn is_explained_by(&self, part: PartId, convicted: &BTreeSet<PartId>) -> bool {
+        let part = BTreeSet::from([part]);
+        let mut is_explained = false;
+        for crash in &self.crashes {
+            if !crash.contains_any(&part) {
+                continue;
+            }
+            if !crash.contains_any(convicted) {
+                return false;
+            }
+            is_explained = true;
+        }
+        is_explained
+    }
+
     /// Returns the parts that are convicted, in groups that no crash tells apart.
     ///
     /// `ripe_at_ms` returns the time from which a crash counts against a part: completed answers
--- a/crates/mallowpath/src/quarantine/part_quarantine.rs
+++ b/crates/mallowpath/src/quarantine/part_quarantine.rs
@@ -90,6 +90,8 @@
     /// The parts that were convicted together with this one, this one included.
     group: BTreeSet<PartId>,
     trial_at_ms: Option<u64>,
+    /// Whether this router convicted the part, which others may have done with more evidence.
+    is_own_conviction: bool,
 }
 
 impl PartQuarantine {
@@ -187,7 +189,8 @@
                 if let Some(known) = self.quarantined.get_mut(part) {
                     known.group.clone_from(&group);
                 } else if self.quarantined.len() < QUARANTINED_MAX {
-                    let quarantine = Quarantine::new(now_ms, 0, group.clone());
+                    let mut quarantine = Quarantine::new(now_ms, 0, group.clone());
+                    quarantine.is_own_conviction = true;
                     self.quarantined.insert(*part, quarantine);
                     added.push(*part);
                 }
@@ -295,12 +298,16 @@
         changes
     }
 
-    /// Ends quarantines whose crashes a heavier part explains.
+    /// Ends quarantines of parts that this router convicted, if heavier parts explain their crashes
+    /// by now.
     fn release_explained(&mut self, groups: &[BTreeSet<PartId>]) {
+        let convicted: BTreeSet<PartId> = groups.iter().flatten().copied().collect();
         let evidence = &self.evidence;
         self.quarantined.retain(|part, quarantine| {
-            let is_convicted = groups.iter().any(|group| group.contains(part));
-            is_convicted || quarantine.renewals > 0 || !evidence.is_suspect(*part)
+            !quarantine.is_own_conviction
+                || quarantine.renewals > 0
+                || convicted.contains(part)
+                || !evidence.is_explained_by(*part, &convicted)
         });
     }
 
@@ -320,6 +327,7 @@
             renewals,
             group,
             trial_at_ms: None,
+            is_own_conviction: false,
         }
     }
 
--- a/crates/mallowpath/tests/quarantine.rs
+++ b/crates/mallowpath/tests/quarantine.rs
@@ -197,6 +197,17 @@
     assert_eq!(check(&mut quarantine, &[DEADLY], 100), PartCheck::Free);
 }
 
+#[test]
+fn part_that_others_convicted_stays_blocked_though_own_evidence_is_too_weak() {
+    let mut quarantine = PartQuarantine::default();
+    let crash = report("b0", vec![suspect(0, &[POPULAR, DEADLY])]);
+    quarantine.record_crash(crash, 0);
+    quarantine.apply_record(DEADLY, Some(0), 1_000);
+    quarantine.evaluate(RIPE_MS);
+    assert_eq!(quarantine.parts(), [DEADLY]);
+    assert!(quarantine.record_changes(RIPE_MS).is_empty());
+}
+
 #[test]
 fn conviction_is_stored_unless_it_is_soon_ended() {
     let mut quarantine = with_deadly_part();
@@ -246,6 +257,8 @@
     deadly_crashes_ms: Vec<(PartId, u64)>,
     sound_sent: u64,
     sound_blocked: u64,
+    /// The share of the notices between routers that are lost.
+    lost_notices: f64,
 }
 
 /// Time until another router has a report.
@@ -264,6 +277,7 @@
             deadly_crashes_ms: Vec::new(),
             sound_sent: 0,
             sound_blocked: 0,
+            lost_notices: 0.0,
         }
     }
 
@@ -287,6 +301,17 @@
                 for quarantine in &mut self.routers {
                     quarantine.evaluate(self.now_ms);
                 }
+                self.store_records();
+            }
+        }
+    }
+
+    /// Lets one router store what it has quarantined, and all routers read it.
+    fn store_records(&mut self) {
+        let writer = self.rng.random_range(0..self.routers.len());
+        for change in self.routers[writer].record_changes(self.now_ms) {
+            for quarantine in &mut self.routers {
+                quarantine.apply_record(change.part, change.renewals, self.now_ms);
             }
         }
     }
@@ -362,12 +387,12 @@
                 continue;
             }
             for (index, quarantine) in self.routers.iter_mut().enumerate() {
-                let delay_ms = if index == reporter {
-                    0
-                } else {
-                    NOTICE_DELAY_MS
-                };
-                quarantine.record_crash(report(&backend, own.clone()), self.now_ms + delay_ms);
+                if index == reporter {
+                    quarantine.record_crash(report(&backend, own.clone()), self.now_ms);
+                } else if !self.rng.random_bool(self.lost_notices) {
+                    let received_at_ms = self.now_ms + NOTICE_DELAY_MS;
+                    quarantine.record_crash(report(&backend, own.clone()), received_at_ms);
+                }
             }
         }
     }
@@ -406,8 +431,10 @@
         sound in 0.1_f64..1.0,
         deadly in 0.005_f64..0.3,
         other_crash in 0.0_f64..0.005,
+        lost_notices in 0.0_f64..0.2,
     ) {
         let mut fleet = Simulation::new(seed, routers, deadly_count);
+        fleet.lost_notices = lost_notices;
         fleet.run(3_000, sound, 0.0, other_crash);
         fleet.run(60_000, sound, deadly, other_crash);
         for part in fleet.deadly.clone() {
