--- a/crates/standins/src/engine_api.rs
+++ b/crates/standins/src/engine_api.rs
@@ -5,7 +5,7 @@
     engine_stream::CompletionStream,
     engine_text::text_seed,
     prefix_cache::{EventOptions, prefix_hashes},
-    server::{error, lock},
+    server::{crash, error, lock},
     simulated_engine::{Fencing, Service},
 };
 use axum::{
@@ -41,6 +41,13 @@
     standin_tokens: Option<u64>,
 }
 
+impl ChatRequest {
+    fn contains(&self, text: &str) -> bool {
+        let mut messages = self.messages.iter();
+        messages.any(|message| message.content.contains(text))
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Message {
     #[serde(default)]
@@ -121,6 +128,10 @@
     if !lock(&service.orders).models.contains(base_model) {
         return error(StatusCode::NOT_FOUND, "model is not loaded");
     }
+    let crash_text = service.settings.get().crash_text;
+    if !crash_text.is_empty() && request.contains(&crash_text) {
+        return crash();
+    }
     let run = service.submit(&request, adapter, &headers);
     let miscount_tokens = service.settings.get().miscount_tokens;
     let mut stream = CompletionStream::new(run, 0, miscount_tokens);
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -16,11 +16,13 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{Notify, watch},
     task::{AbortHandle, JoinSet},
+    time::sleep,
 };
 
 /// A running stand-in; it stops when the handle is dropped.
@@ -104,10 +106,18 @@
     }
 }
 
+/// Time between the crash of a server and its restart at the same address.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+
 /// Marks a response that is not sent; the server closes the connection instead.
 #[derive(Debug, Clone)]
 struct CloseUnanswered;
 
+/// Marks a response that is not sent; the server closes all connections and stops listening for
+/// [`RESTART_DELAY`].
+#[derive(Debug, Clone)]
+struct Crash;
+
 /// A task that is aborted when this value is dropped.
 #[derive(Debug)]
 pub(crate) struct AbortOnDrop(pub(crate) AbortHandle);
@@ -132,7 +142,8 @@
         .with_state(Arc::clone(&settings));
     let listener = TcpListener::bind(listen).await?;
     let address = listener.local_addr()?;
-    let accept = tokio::spawn(accept_connections(listener, control.merge(router)));
+    let router = control.merge(router);
+    let accept = tokio::spawn(accept_connections(listener, address, router));
     Ok(Handle {
         address,
         settings,
@@ -152,6 +163,13 @@
     response
 }
 
+/// Builds a response that is not sent: the server crashes and restarts.
+pub(crate) fn crash() -> Response {
+    let mut response = close_without_response();
+    response.extensions_mut().insert(Crash);
+    response
+}
+
 /// Builds an error response.
 pub(crate) fn error(status: StatusCode, text: &str) -> Response {
     (status, Json(json!({ "error": text }))).into_response()
@@ -195,28 +213,49 @@
     serde_json::from_value(value)
 }
 
-async fn accept_connections(listener: TcpListener, router: Router) {
+async fn accept_connections(mut listener: TcpListener, address: SocketAddr, router: Router) {
+    loop {
+        serve_until_crash(listener, &router).await;
+        sleep(RESTART_DELAY).await;
+        listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::error!("the stand-in can't restart at {address}: {e}");
+                return;
+            }
+        };
+    }
+}
+
+/// Serves connections until a request crashes the server, then closes all of them.
+async fn serve_until_crash(listener: TcpListener, router: &Router) {
+    let crash = Arc::new(Notify::new());
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
-                connections.spawn(serve_connection(stream, router.clone()));
+                connections.spawn(serve_connection(stream, router.clone(), Arc::clone(&crash)));
             }
             Some(_) = connections.join_next() => {}
+            () = crash.notified() => return,
         }
     }
 }
 
-async fn serve_connection(stream: TcpStream, router: Router) {
+async fn serve_connection(stream: TcpStream, router: Router, crash: Arc<Notify>) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let service = service_fn(move |request: hyper::Request<Incoming>| {
         let service = TowerToHyperService::new(router.clone());
+        let crash = Arc::clone(&crash);
         async move {
             let response = hyper::service::Service::call(&service, request).await;
             let response = response.unwrap_or_else(|never| match never {});
+            if response.extensions().get::<Crash>().is_some() {
+                crash.notify_one();
+            }
             if response.extensions().get::<CloseUnanswered>().is_some() {
                 return Err(io::Error::other("answer lost"));
             }
--- a/crates/standins/src/simulated_engine.rs
+++ b/crates/standins/src/simulated_engine.rs
@@ -79,6 +79,8 @@
     pub overrun_tokens: u64,
     /// The error added to the reported number of completion tokens.
     pub miscount_tokens: i64,
+    /// A text; the engine crashes at prompts that contain it, and restarts. Empty for none.
+    pub crash_text: String,
     /// Accepts connections without responding; running requests make no progress.
     pub freeze: bool,
     /// The seed that decides which cache events are lost; read at the start.
@@ -226,6 +228,7 @@
             fencing: Fencing::Refuse,
             overrun_tokens: 0,
             miscount_tokens: 0,
+            crash_text: String::new(),
             freeze: false,
             seed: 1,
         }
