--- a/crates/embedded/tests/regression_deadly_prompt.rs
+++ b/crates/embedded/tests/regression_deadly_prompt.rs
@@ -37,7 +37,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-#[ignore = "known fault, see KNOWN-RED.txt"]
 async fn prompt_that_ends_backend_servers_is_refused_and_others_are_served() {
     let backend = simulated_engine::Settings {
         model: "small".into(),
--- a/crates/mallowpath/src/backend_host/backend_client.rs
+++ b/crates/mallowpath/src/backend_host/backend_client.rs
@@ -16,8 +16,8 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use std::{net::SocketAddr, time::Duration};
-use tokio::{io::AsyncBufReadExt, time::timeout};
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{io::AsyncBufReadExt, net::TcpStream, time::timeout};
 use tokio_util::{io::StreamReader, sync::CancellationToken};
 
 const CONNECT_TIMEOUT_MS: u64 = 1000;
@@ -100,6 +100,15 @@
         end
     }
 
+    /// Returns whether the backend server has ended: its host refuses connections.
+    pub(crate) async fn has_ended(&self) -> bool {
+        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
+        match timeout(limit, TcpStream::connect(self.address)).await {
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     async fn exchange<F: FnMut(AnswerPart)>(
         &self,
         request_id: &str,
@@ -275,6 +284,7 @@
             completion_tokens,
             code: code.to_owned(),
             bill: Bytes::new(),
+            backend_ended: false,
         }
     }
 
--- a/crates/mallowpath/src/backend_host/sidecar_calls.rs
+++ b/crates/mallowpath/src/backend_host/sidecar_calls.rs
@@ -1,7 +1,7 @@
 //! Handles the calls that routers open to a sidecar.
 
 use crate::{
-    backend_host::backend_client::AnswerPart,
+    backend_host::backend_client::{AnswerPart, end_code},
     backend_host::run_table::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
     backend_host::sidecar::{RunSignals, Sidecar},
     billing::bill::Bill,
@@ -155,6 +155,9 @@
         .run(&submit, &request_id, &signals.stop, emit)
         .await;
     end.chunks = chunks;
+    if end.code == end_code::FAILED && chunks == 0 {
+        end.backend_ended = sidecar.backend_client.has_ended().await;
+    }
     let bill = make_bill(id, &submit, &end);
     // A run that failed at no cost gets no bill, as it may be retried elsewhere under the same
     // identifier.
--- a/crates/mallowpath/src/peer/wire_run.rs
+++ b/crates/mallowpath/src/peer/wire_run.rs
@@ -159,6 +159,9 @@
     /// the log.
     #[prost(bytes = "bytes", tag = "7")]
     pub bill: bytes::Bytes,
+    /// Whether the backend server accepted no connections after the request had failed.
+    #[prost(bool, tag = "8")]
+    pub backend_ended: bool,
 }
 
 /// Stops a request.
--- a/crates/mallowpath/src/process/router.rs
+++ b/crates/mallowpath/src/process/router.rs
@@ -25,6 +25,7 @@
     process::in_flight::InFlightCounter,
     process::router_calls::serve_call,
     process::settings::{HostSettings, RouterSettings},
+    quarantine::router_quarantine::RouterQuarantine,
     request::http_api,
     request::http_server::serve_callers,
     request::refusal::Refusal,
@@ -65,6 +66,7 @@
     pub(crate) budgets: Budgets,
     pub(crate) bills: RouterBilling,
     pub(crate) admission: Arc<RouterAdmission>,
+    pub(crate) quarantine: Arc<RouterQuarantine>,
     pub(crate) orders: OrderCoordinator,
     pub(crate) keys: KeyShardRegistry,
     routes: RouteTables,
@@ -135,6 +137,7 @@
                 bills: RouterBilling::new(incarnation, &settings.tuning),
                 keys: KeyShardRegistry::new(incarnation, &settings.tuning),
                 admission: RouterAdmission::new(settings.tuning.max_waiting),
+                quarantine: RouterQuarantine::new(),
                 routes: RouteTables::new(settings.host.zone.clone(), RouteSettings::default()),
                 orders: OrderCoordinator::default(),
                 members: MembersFollower::new(log.clone()),
@@ -190,6 +193,7 @@
         tokio::spawn(crate::budget::limit_sync::run(Arc::clone(self)));
         tokio::spawn(crate::billing::router_billing::flush(Arc::clone(self)));
         tokio::spawn(Arc::clone(&self.admission).run_expiry());
+        tokio::spawn(Arc::clone(&self.quarantine).run_evaluation());
         tokio::spawn(crate::routing::order_task::coordinate(Arc::clone(self)));
         tokio::spawn(Arc::clone(self).follow_members(peers_address));
         tokio::spawn(crate::membership::reclaim_task::watch_lost_routers(
@@ -316,6 +320,7 @@
             "config_age_ms": self.config_age_ms(),
             "hosts_version": self.hosts().version,
             "admission": self.admission.dump(),
+            "quarantined_prefixes": self.quarantine.dump(),
             "routes": self.routes.dump(),
             "budgets": self.budgets.dump(),
             "bills": self.bills.dump(),
--- a/crates/mallowpath/src/quarantine/mod.rs
+++ b/crates/mallowpath/src/quarantine/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod part_id;
 pub(crate) mod part_quarantine;
 mod recent_parts;
+pub(crate) mod router_quarantine;
--- a/crates/mallowpath/src/request/refusal.rs
+++ b/crates/mallowpath/src/request/refusal.rs
@@ -36,6 +36,8 @@
     BudgetUnavailable,
     /// The workspace or the service has more requests than it may run or queue.
     Overloaded,
+    /// The prompt begins with a text at which backend servers end.
+    Quarantined,
     /// No backend server of the service accepts work.
     NoBackend,
     /// The backend server did not accept the request.
@@ -121,6 +123,7 @@
             Code::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Code::BackendFailed => StatusCode::BAD_GATEWAY,
             Code::BudgetUnavailable
+            | Code::Quarantined
             | Code::NoBackend
             | Code::BackendRefused
             | Code::ShuttingDown
--- a/crates/mallowpath/src/request/request_run.rs
+++ b/crates/mallowpath/src/request/request_run.rs
@@ -161,6 +161,7 @@
     ) -> Result<Receipt, Refusal> {
         let deadline = Instant::now() + Duration::from_millis(run.service.timeout_ms);
         self.check_accepts_work(run)?;
+        self.quarantine.admit(&run.prefix_hashes)?;
         if let Some(key) = RequestKey::of(run) {
             return self.run_keyed(run, key, out).await;
         }
@@ -253,6 +254,10 @@
     ) -> Result<(Attempt, AnswerEnd), RunError> {
         let mut attempts = Attempts::default();
         loop {
+            if !self.quarantine.may_send(&run.prefix_hashes) {
+                let text = "backend servers end at prompts that begin like this one";
+                return attempts.give_up(Refusal::not_run(Code::Quarantined, text));
+            }
             let chosen = match self.choose(run, &attempts.backends) {
                 Ok(chosen) => chosen,
                 Err(refusal) => return attempts.give_up(refusal),
@@ -387,6 +392,29 @@
         if result == AttemptResult::Success {
             self.admission.record_success(&run.service.id);
         }
+        self.record_prompt_result(run, attempt, ended);
+    }
+
+    /// Records whether the backend server survived the prompt.
+    fn record_prompt_result(&self, run: &RequestRun, attempt: &Attempt, ended: &AttemptEnd) {
+        let AttemptEnd::End(end) = ended else {
+            return;
+        };
+        let prefixes = &run.prefix_hashes;
+        if end.backend_ended {
+            log::warn!(
+                "backend server {} ended at request {}",
+                attempt.backend,
+                run.id
+            );
+            self.quarantine
+                .record_crash(&attempt.backend, prefixes, &run.body);
+        } else if end.whole {
+            let elapsed = Duration::from_millis(now_ms().saturating_sub(attempt.submitted_at_ms));
+            if let Some(sent_at) = Instant::now().checked_sub(elapsed) {
+                self.quarantine.record_completion(prefixes, sent_at);
+            }
+        }
     }
 
     /// Settles and bills a request whose end the sidecar reported.
