--- a/crates/gateway/src/quarantine/prompt_parts.rs
+++ b/crates/gateway/src/quarantine/prompt_parts.rs
@@ -19,7 +19,7 @@
 }
 
 /// Returns a hash of all parts of a prompt.
-pub(super) fn prompt_hash(prompt: &[PromptPart]) -> u64 {
+pub(crate) fn prompt_hash(prompt: &[PromptPart]) -> u64 {
     let parts: Vec<PartId> = prompt.iter().map(|part| PartId(part.id)).collect();
     rendezvous_key(&part_list(&parts))
 }
--- a/crates/gateway/src/quarantine/shared_quarantine.rs
+++ b/crates/gateway/src/quarantine/shared_quarantine.rs
@@ -43,6 +43,11 @@
         self.lock().may_send(parts, now_ms)
     }
 
+    /// Returns whether a request at which a backend server probably ended may be sent to another one.
+    pub(crate) fn may_resend(&self, prompt_hash: u64, parts: &[PartId]) -> bool {
+        self.lock().may_resend(prompt_hash, parts)
+    }
+
     /// Decides whether a request that this router has received may be sent.
     pub(crate) fn check(&self, gateway: &Gateway, parts: &[PartId]) -> PartCheck {
         let mut quarantine = self.lock();
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -20,7 +20,7 @@
     budget::Reservation,
     placement::{Backend, BackendQuery, InFlight},
     process::Gateway,
-    quarantine::{BrokenAnswer, check_for_crash, record_completion, shared_part_ids},
+    quarantine::{BrokenAnswer, check_for_crash, prompt_hash, record_completion, shared_part_ids},
     version::{Route, RouteKind},
 };
 use bytes::Bytes;
@@ -53,6 +53,8 @@
     sent_count: u32,
     /// The number of attempts in which the backend server was not reached.
     connect_failures: u32,
+    /// Whether an answer broke off between its head and its first event.
+    broke_at_start: bool,
     /// Whether a backend server may have run the request.
     may_have_run: bool,
     /// The answer to deliver unless a later attempt gets a better one.
@@ -88,6 +90,7 @@
             tried: Vec::new(),
             sent_count: 0,
             connect_failures: 0,
+            broke_at_start: false,
             may_have_run: false,
             answer: None,
             reason: Reason::NoBackend,
@@ -156,8 +159,7 @@
             random: rand::random(),
         };
         let now_ms = self.gateway.now_ms();
-        let quarantine = &self.gateway.quarantine;
-        if !quarantine.may_send(&self.shared_parts, now_ms) {
+        if !self.is_sendable(now_ms) {
             self.reason = Reason::Quarantined;
             return None;
         }
@@ -168,6 +170,16 @@
         Some(chosen)
     }
 
+    /// Returns whether the prompt's parts allow that the request is sent to a backend server.
+    fn is_sendable(&self, now_ms: u64) -> bool {
+        let quarantine = &self.gateway.quarantine;
+        if !quarantine.may_send(&self.shared_parts, now_ms) {
+            return false;
+        }
+        !self.broke_at_start
+            || quarantine.may_resend(prompt_hash(&self.caller_request.prompt), &self.shared_parts)
+    }
+
     /// Returns the time at which the next attempt is given up.
     ///
     /// This is the request's deadline unless the request is retryable, has attempts left and its
@@ -219,10 +231,11 @@
 
     /// Checks whether the backend server ended when it was to answer; not if it had sent events, as
     /// it survived the beginning of this answer.
-    pub(super) fn suspect_crash(&self, backend: &Backend, progress: AnswerProgress) {
+    pub(super) fn suspect_crash(&mut self, backend: &Backend, progress: AnswerProgress) {
         if progress == AnswerProgress::Events {
             return;
         }
+        self.broke_at_start |= progress == AnswerProgress::Head;
         let broken = BrokenAnswer {
             prompt: &self.caller_request.prompt,
             answer_began: progress == AnswerProgress::Head,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -188,8 +188,8 @@
     }
 
     /// Checks whether the backend server ended when it was to answer.
-    fn suspect_crash(&self) {
-        if let (Source::Open(open), Some(attempts)) = (&self.source, &self.attempts) {
+    fn suspect_crash(&mut self) {
+        if let (Source::Open(open), Some(attempts)) = (&self.source, &mut self.attempts) {
             attempts.suspect_crash(open.in_flight.backend(), open.progress());
         }
     }
--- a/crates/gateway/tests/regression_deadly_prompt_part.rs
+++ b/crates/gateway/tests/regression_deadly_prompt_part.rs
@@ -120,3 +120,14 @@
     assert_eq!(fleet.call("10 20").await, 200);
     assert_eq!(fleet.crash_count(), crashes);
 }
+
+#[tokio::test]
+async fn request_whose_part_ended_another_backend_is_not_sent_to_a_second_one() {
+    let mut fleet = Fleet::start(2, 6).await;
+    fleet.call("10 666 30").await;
+    sleep(Duration::from_millis(150)).await;
+    let crashes = fleet.crash_count();
+    assert_eq!(fleet.call("10 666 30").await, 0);
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(fleet.crash_count(), crashes + 1);
+}
--- a/crates/mallowpath/src/quarantine/crash_evidence.rs
+++ b/crates/mallowpath/src/quarantine/crash_evidence.rs
@@ -131,6 +131,17 @@
         suspects.any(|suspect| suspect.parts.contains(&part))
     }
 
+    /// Returns whether a backend server ended when it began to answer another prompt with any of
+    /// `parts`.
+    pub fn has_other_prompt(&self, prompt_hash: u64, parts: &[PartId]) -> bool {
+        let mut suspects = self.crashes.iter().flat_map(|crash| &crash.suspects);
+        suspects.any(|suspect| {
+            suspect.answer_began
+                && suspect.prompt_hash != prompt_hash
+                && suspect.parts.iter().any(|part| parts.contains(part))
+        })
+    }
+
     /// Returns whether a part is among the suspects of crashes, and each of these has a suspect with
     /// one of `convicted`.
     pub fn is_explained_by(&self, part: PartId, convicted: &BTreeSet<PartId>) -> bool {
--- a/crates/mallowpath/src/quarantine/part_quarantine.rs
+++ b/crates/mallowpath/src/quarantine/part_quarantine.rs
@@ -243,6 +243,12 @@
         })
     }
 
+    /// Returns whether a request at which a backend server probably ended may be sent to another one:
+    /// not if any of its parts, none of which is convicted yet, was in another such prompt.
+    pub fn may_resend(&self, prompt_hash: u64, parts: &[PartId]) -> bool {
+        !self.evidence.has_other_prompt(prompt_hash, parts)
+    }
+
     /// Applies a stored record; `renewals` is `None` if it was removed.
     pub fn apply_record(&mut self, part: PartId, renewals: Option<u32>, now_ms: u64) {
         let Some(renewals) = renewals else {
