--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -13,6 +13,7 @@
 };
 use crate::{budget::Reservation, connection::BackendConnection, placement::InFlight};
 use bytes::Bytes;
+use http::header;
 use http_body::{Body, Frame};
 use hyper::body::Incoming;
 use std::{
@@ -74,6 +75,8 @@
     connection: BackendConnection,
     in_flight: InFlight,
     idle_timeout_ms: Option<u64>,
+    /// Whether the body has a length or chunks, which show whether it is complete.
+    is_framed: bool,
 }
 
 /// Resumes a stream; returns `None` in place of the answer if no backend server did.
@@ -172,6 +175,9 @@
             None if self.splitter.has_partial() => {
                 Err("the stream ended within an event".to_owned())
             }
+            None if self.ended_unframed_without_event() => {
+                Err("the connection closed before the first event".to_owned())
+            }
             None => return self.complete(),
         };
         match events {
@@ -194,6 +200,15 @@
         }
     }
 
+    /// Returns whether the source sent no event and its end is only that of its connection, which a
+    /// backend server that ends closes, too.
+    fn ended_unframed_without_event(&self) -> bool {
+        let Source::Open(open) = &self.source else {
+            return false;
+        };
+        !open.is_framed && !open.in_flight.has_begun() && self.splitter.last_id().is_none()
+    }
+
     /// Returns the events that are complete with this frame and counts them as spent.
     fn split_events(&mut self, frame: Frame<Bytes>) -> Result<Bytes, String> {
         let Ok(bytes) = frame.into_data() else {
@@ -399,7 +414,10 @@
 
 impl OpenStream {
     fn new(started: StartedAnswer) -> Self {
+        let headers = &started.head.headers;
         Self {
+            is_framed: headers.contains_key(header::CONTENT_LENGTH)
+                || headers.contains_key(header::TRANSFER_ENCODING),
             body: started.body,
             connection: started.connection,
             in_flight: started.in_flight,
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -157,6 +157,19 @@
     assert_eq!((got.status, got.body.as_str()), (200, "all of it"));
 }
 
+#[tokio::test]
+async fn answer_without_a_length_is_not_complete_when_the_connection_is_reset() {
+    let head = "HTTP/1.1 200 OK\r\nx-attempt: ATTEMPT\r\nx-signature: s\r\n\r\nall of it";
+    let script = vec![
+        ScriptStep::Write(head.to_owned()),
+        ScriptStep::Wait(20),
+        ScriptStep::Reset,
+    ];
+    let server = ScriptedServer::start(script).await;
+    let test = TestGateway::start(&[server.address]).await;
+    assert_eq!(test.call("/once/", "").await.status, 502);
+}
+
 #[tokio::test]
 async fn request_gets_504_at_its_deadline() {
     let server = ScriptedServer::start(vec![ScriptStep::AwaitClose]).await;
--- a/crates/gateway/tests/common/server.rs
+++ b/crates/gateway/tests/common/server.rs
@@ -32,8 +32,12 @@
     Flood(&'static str),
     /// Waits for a number of milliseconds.
     Wait(u64),
+    /// Writes the head of an event stream that has neither a length nor chunks.
+    UnframedStreamHead,
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Waits until the peer closes the connection.
     AwaitClose,
 }
@@ -154,7 +158,18 @@
                     return Ok(());
                 }
                 ScriptStep::Wait(ms) => sleep(Duration::from_millis(*ms)).await,
+                ScriptStep::UnframedStreamHead => {
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\nx-signature: s\r\n\
+                         content-type: text/event-stream\r\n\r\n"
+                    );
+                    stream.write_all(head.as_bytes()).await?;
+                }
                 ScriptStep::Close => return Ok(()),
+                ScriptStep::Reset => {
+                    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+                    return Ok(());
+                }
                 ScriptStep::AwaitClose => {
                     let mut byte = [0];
                     let end = stream.read(&mut byte).await;
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -30,6 +30,42 @@
     assert_eq!(got.body, events(1..=5));
 }
 
+/// Returns a script that writes a stream without a length or chunks.
+fn unframed_stream(text: &str, end: ScriptStep) -> Vec<ScriptStep> {
+    let text = ScriptStep::Write(text.to_owned());
+    vec![
+        ScriptStep::UnframedStreamHead,
+        text,
+        ScriptStep::Wait(20),
+        end,
+    ]
+}
+
+#[tokio::test]
+async fn stream_without_a_length_or_chunks_ends_with_its_connection() {
+    let script = unframed_stream(&events(1..=3), ScriptStep::Close);
+    let server = ScriptedServer::start(script).await;
+    let test = TestGateway::start(&[server.address]).await;
+    let got = test.call("/stream/", "x-tokens: 100 60\r\n").await;
+    assert_eq!((got.status, got.is_truncated), (200, false));
+    assert_eq!(got.body, events(1..=3));
+}
+
+#[tokio::test]
+async fn stream_without_a_length_that_ends_early_is_broken_off() {
+    let cases = [
+        (events(1..=2) + "id: 3\ndat", ScriptStep::Close),
+        (String::new(), ScriptStep::Close),
+        (events(1..=2), ScriptStep::Reset),
+    ];
+    for (text, end) in cases {
+        let server = ScriptedServer::start(unframed_stream(&text, end)).await;
+        let test = TestGateway::start(&[server.address]).await;
+        let got = test.call("/stream/", "x-tokens: 100 60\r\n").await;
+        assert!(got.is_truncated, "{text:?}");
+    }
+}
+
 #[tokio::test]
 async fn broken_stream_of_a_route_without_resumption_is_broken_off() {
     let server = ScriptedServer::start(stream(1..=2, ScriptStep::Close)).await;
