--- a/crates/mallowpath/src/quarantine/part_quarantine.rs
+++ b/crates/mallowpath/src/quarantine/part_quarantine.rs
@@ -14,6 +14,9 @@
 /// The duration of the first block; it doubles with each further one.
 const BLOCK_MS: u64 = 20_000;
 
+/// How far apart the ends of a block may be at different routers.
+const BLOCK_END_SPREAD_MS: u64 = 5_000;
+
 /// The longest duration of a block.
 const BLOCK_MAX_MS: u64 = 640_000;
 
@@ -337,9 +340,10 @@
         }
     }
 
-    /// Renews the quarantine if a trial may have caused a crash; earlier crashes don't count.
+    /// Renews the quarantine if a trial, here or at another router, may have caused a crash; crashes by
+    /// requests that were sent before the block don't count.
     fn record_crash(&mut self, now_ms: u64) {
-        if now_ms >= self.blocked_until_ms {
+        if now_ms + BLOCK_END_SPREAD_MS >= self.blocked_until_ms {
             let group = std::mem::take(&mut self.group);
             *self = Self::new(now_ms, self.renewals + 1, group);
         }
--- a/crates/mallowpath/tests/quarantine.rs
+++ b/crates/mallowpath/tests/quarantine.rs
@@ -163,6 +163,16 @@
     assert_eq!(retry_after_ms, 40_000);
 }
 
+#[test]
+fn crash_by_another_routers_trial_renews_a_block_that_ends_a_little_later() {
+    let mut quarantine = with_deadly_part();
+    let block_end_ms = RIPE_MS + 20_000;
+    let crash = report("b9", vec![suspect(9, &[DEADLY])]);
+    quarantine.record_crash(crash, block_end_ms - 300);
+    let checked = check(&mut quarantine, &[DEADLY], block_end_ms + 100);
+    assert!(matches!(checked, PartCheck::Blocked { .. }), "{checked:?}");
+}
+
 #[test]
 fn completed_trial_ends_the_quarantine() {
     let mut quarantine = with_deadly_part();
@@ -297,10 +307,13 @@
                 self.crash_in_flight(None);
             }
             self.complete();
-            if self.now_ms.is_multiple_of(100) {
-                for quarantine in &mut self.routers {
+            // The routers don't evaluate at the same time.
+            for (index, quarantine) in self.routers.iter_mut().enumerate() {
+                if (self.now_ms / 10 + index as u64).is_multiple_of(10) {
                     quarantine.evaluate(self.now_ms);
                 }
+            }
+            if self.now_ms.is_multiple_of(1_000) {
                 self.store_records();
             }
         }
