--- a/crates/gateway/src/placement/cold_start.rs
+++ b/crates/gateway/src/placement/cold_start.rs
@@ -4,7 +4,7 @@
 //! bears is that of all routers together. Routers share it without coordination: rendezvous hashing
 //! assigns a few routers to each backend server, and each of these sends its part of the rate.
 
-use super::rate_share::rate_share;
+use super::rate_share::{rate_share, whole};
 use mallowpath::BackendId;
 use std::{collections::VecDeque, sync::Arc};
 
@@ -27,15 +27,6 @@
     u64::try_from(whole(share.unwrap_or(0.0))).unwrap_or(u64::MAX)
 }
 
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "casts from floating point saturate, as intended"
-)]
-fn whole(value: f64) -> usize {
-    value as usize
-}
-
 /// The requests that this router has sent to a backend server within the window.
 #[derive(Debug, Default)]
 pub struct ColdStartWindow {
--- a/crates/gateway/src/placement/rate_share.rs
+++ b/crates/gateway/src/placement/rate_share.rs
@@ -24,3 +24,13 @@
     let is_sender = senders.iter().any(|&index| *routers[index] == *own);
     is_sender.then(|| backend_rate_per_s / senders.len() as f64)
 }
+
+/// Returns the integer part of a number; 0 if it is negative.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "casts from floating point saturate, as intended"
+)]
+pub(super) fn whole(value: f64) -> usize {
+    value as usize
+}
--- a/crates/gateway/src/placement/stated_rate_limit.rs
+++ b/crates/gateway/src/placement/stated_rate_limit.rs
@@ -3,7 +3,7 @@
 //! The limit is one of all routers together. A few routers share it; the others send a request now
 //! and then, so that they learn when the limit ends even if no router tells them.
 
-use super::rate_share::rate_share;
+use super::rate_share::{rate_share, whole};
 use mallowpath::BackendId;
 use std::{ops::Range, sync::Arc};
 
@@ -139,12 +139,3 @@
         now_ms >= probe_at_ms
     }
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "casts from floating point saturate, as intended"
-)]
-fn whole(value: f64) -> usize {
-    value as usize
-}
--- a/crates/gateway/src/quarantine/crash_check.rs
+++ b/crates/gateway/src/quarantine/crash_check.rs
@@ -5,25 +5,18 @@
     prompt_parts::{part_list, prompt_hash, shared_part_ids},
 };
 use crate::{placement::Backend, process::Gateway, request::PromptPart};
-use mallowpath::{BackendId, CrashReport, SuspectRequest};
+use mallowpath::{BackendId, CrashReport, SuspectRequest, refuses_connections};
 use std::{
     collections::HashMap,
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::{
-    net::TcpStream,
-    time::{sleep, timeout},
-};
+use tokio::time::sleep;
 
 /// Time in which the answers of all requests to the backend server break off.
 const COLLECTION_TIME: Duration = Duration::from_millis(20);
 
-/// Timeout of the connection that shows whether the backend server still runs.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The maximum number of suspects in one report.
 const SUSPECTS_MAX: usize = 16;
 
@@ -101,11 +94,3 @@
     announce_crash(&gateway, &report);
     gateway.quarantine.record_crash(report, gateway.now_ms());
 }
-
-/// Returns whether nothing accepts connections at `address` although its host answers.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    }
-}
--- a/crates/gateway/src/quarantine/shared_quarantine.rs
+++ b/crates/gateway/src/quarantine/shared_quarantine.rs
@@ -50,13 +50,12 @@
 
     /// Decides whether a request that this router has received may be sent.
     pub(crate) fn check(&self, gateway: &Gateway, parts: &[PartId]) -> PartCheck {
-        let mut quarantine = self.lock();
-        if parts.is_empty() || quarantine.is_empty() {
+        if !self.lock().contains_any(parts) {
             return PartCheck::Free;
         }
         let routers = gateway.directory.names();
         let own = &gateway.settings.account;
-        quarantine.check(parts, gateway.now_ms(), |part| {
+        self.lock().check(parts, gateway.now_ms(), |part| {
             trial_delay_ms(part, own, &routers)
         })
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,8 +8,10 @@
 mod forward;
 mod headers;
 mod message_heads;
+mod open_stream;
 mod rejection;
 mod request_log;
+mod resume;
 mod retry_after;
 mod stream;
 
--- /dev/null
+++ b/crates/gateway/src/request/open_stream.rs
@@ -0,0 +1,39 @@
+//! The stream of events of one backend server.
+
+use super::{attempt::StartedAnswer, request_log::AnswerProgress};
+use crate::{connection::BackendConnection, placement::InFlight};
+use http::header;
+use hyper::body::Incoming;
+
+/// The stream of one backend server.
+pub(super) struct OpenStream {
+    pub(super) body: Incoming,
+    pub(super) connection: BackendConnection,
+    pub(super) in_flight: InFlight,
+    pub(super) idle_timeout_ms: Option<u64>,
+    /// Whether the body has a length or chunks, which show whether it is complete.
+    pub(super) is_framed: bool,
+}
+
+impl OpenStream {
+    pub(super) fn new(started: StartedAnswer) -> Self {
+        let headers = &started.head.headers;
+        Self {
+            is_framed: headers.contains_key(header::CONTENT_LENGTH)
+                || headers.contains_key(header::TRANSFER_ENCODING),
+            body: started.body,
+            connection: started.connection,
+            in_flight: started.in_flight,
+            idle_timeout_ms: started.backend_answer.idle_timeout_ms,
+        }
+    }
+
+    /// Returns how far the answer of this backend server has come.
+    pub(super) fn progress(&self) -> AnswerProgress {
+        if self.in_flight.has_begun() {
+            AnswerProgress::Events
+        } else {
+            AnswerProgress::Head
+        }
+    }
+}
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -5,21 +5,20 @@
 
 use super::{
     answer::BrokenStream,
-    attempt::{AttemptOutcome, AttemptTarget, StartedAnswer, send_attempt},
+    attempt::StartedAnswer,
     attempts::RequestAttempts,
     events::EventSplitter,
     message_heads::TokenCount,
-    request_log::{AnswerProgress, Reason, RequestLog},
+    open_stream::OpenStream,
+    request_log::{Reason, RequestLog},
+    resume::resume,
 };
-use crate::{budget::Reservation, connection::BackendConnection, placement::InFlight};
+use crate::budget::Reservation;
 use bytes::Bytes;
-use http::header;
 use http_body::{Body, Frame};
-use hyper::body::Incoming;
 use std::{
     fmt,
     pin::Pin,
-    sync::Arc,
     task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
@@ -69,16 +68,6 @@
     Ended,
 }
 
-/// The stream of one backend server.
-struct OpenStream {
-    body: Incoming,
-    connection: BackendConnection,
-    in_flight: InFlight,
-    idle_timeout_ms: Option<u64>,
-    /// Whether the body has a length or chunks, which show whether it is complete.
-    is_framed: bool,
-}
-
 /// Resumes a stream; returns `None` in place of the answer if no backend server did.
 type ResumeFuture =
     Pin<Box<dyn Future<Output = (RequestAttempts, RequestLog, Option<StartedAnswer>)> + Send>>;
@@ -366,75 +355,6 @@
     }
 }
 
-/// Sends the request to other backend servers until one resumes the stream after `last_event_id`.
-async fn resume(
-    mut attempts: RequestAttempts,
-    mut log: RequestLog,
-    last_event_id: Option<u64>,
-) -> (RequestAttempts, RequestLog, Option<StartedAnswer>) {
-    loop {
-        let Some((backend, prefill_tokens)) = attempts.choose_backend(&mut log) else {
-            return (attempts, log, None);
-        };
-        let target = AttemptTarget {
-            backend: Arc::clone(&backend),
-            prefill_tokens,
-            last_event_id,
-            give_up_at: attempts.attempt_deadline(),
-        };
-        match send_attempt(&attempts.gateway, &attempts.outgoing_request, target).await {
-            AttemptOutcome::StartedAnswer(started) if started.is_stream() => {
-                attempts.count_sent();
-                return (attempts, log, Some(*started));
-            }
-            AttemptOutcome::Unreached(detail) => {
-                attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
-            }
-            AttemptOutcome::StartedAnswer(_) => {
-                let detail = "the answer to the resumption is not a stream";
-                attempts.record_failure(&backend, detail, AnswerProgress::Head, &mut log);
-                attempts.count_sent();
-            }
-            AttemptOutcome::BrokenOff(detail) => {
-                attempts.suspect_crash(&backend, AnswerProgress::Nothing);
-                attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
-                attempts.count_sent();
-            }
-            AttemptOutcome::NoValidAnswer(detail) => {
-                attempts.record_failure(&backend, &detail, AnswerProgress::Nothing, &mut log);
-                attempts.count_sent();
-            }
-            AttemptOutcome::NotRun(_) => attempts.count_sent(),
-        }
-        if !attempts.acquire_retry() {
-            return (attempts, log, None);
-        }
-    }
-}
-
-impl OpenStream {
-    fn new(started: StartedAnswer) -> Self {
-        let headers = &started.head.headers;
-        Self {
-            is_framed: headers.contains_key(header::CONTENT_LENGTH)
-                || headers.contains_key(header::TRANSFER_ENCODING),
-            body: started.body,
-            connection: started.connection,
-            in_flight: started.in_flight,
-            idle_timeout_ms: started.backend_answer.idle_timeout_ms,
-        }
-    }
-
-    /// Returns how far the answer of this backend server has come.
-    fn progress(&self) -> AnswerProgress {
-        if self.in_flight.has_begun() {
-            AnswerProgress::Events
-        } else {
-            AnswerProgress::Head
-        }
-    }
-}
-
 impl Drop for StreamAnswer {
     fn drop(&mut self) {
         if let Some(log) = &mut self.log {
--- a/crates/mallowpath/src/backend_host/backend_client.rs
+++ b/crates/mallowpath/src/backend_host/backend_client.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     peer::wire::{AnswerEnd, AnswerHead, Submit},
+    quarantine::crash_probe::refuses_connections,
     request::chat::{StreamEvent, Usage},
 };
 use bytes::Bytes;
@@ -16,8 +17,8 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
-use std::{io, net::SocketAddr, time::Duration};
-use tokio::{io::AsyncBufReadExt, net::TcpStream, time::timeout};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{io::AsyncBufReadExt, time::timeout};
 use tokio_util::{io::StreamReader, sync::CancellationToken};
 
 const CONNECT_TIMEOUT_MS: u64 = 1000;
@@ -102,11 +103,7 @@
 
     /// Returns whether the backend server has ended: its host refuses connections.
     pub(crate) async fn has_ended(&self) -> bool {
-        let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        match timeout(limit, TcpStream::connect(self.address)).await {
-            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
-        }
+        refuses_connections(self.address).await
     }
 
     async fn exchange<F: FnMut(AnswerPart)>(
--- a/crates/mallowpath/src/budget/budgets.rs
+++ b/crates/mallowpath/src/budget/budgets.rs
@@ -1,7 +1,8 @@
 //! The budget state of a router: its wallet, and the keepers that it runs for its zone.
 
 use crate::{
-    budget::keeper::{Keeper, KeeperSettings},
+    budget::keeper::Keeper,
+    budget::keeper_settings::KeeperSettings,
     budget::keeper_task::{KeeperTask, describe_ledger, keeper_incarnation},
     budget::ledger::{LEDGER_SHARDS, shard_of},
     budget::slice::{SliceAnswer, SliceReply, SliceRequest, SliceReturn},
--- a/crates/mallowpath/src/budget/keeper_task.rs
+++ b/crates/mallowpath/src/budget/keeper_task.rs
@@ -1,7 +1,8 @@
 //! The task of a keeper, which connects its state machine to the ledger stream.
 
 use crate::{
-    budget::keeper::{Keeper, KeeperSettings},
+    budget::keeper::Keeper,
+    budget::keeper_settings::KeeperSettings,
     budget::ledger::Ledger,
     budget::ledger_records::{LedgerBatch, LedgerEntry},
     budget::slice::{SliceAnswer, SliceReply, SliceRequest, SliceReturn},
--- a/crates/mallowpath/src/budget/mod.rs
+++ b/crates/mallowpath/src/budget/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod budgets;
 pub(crate) mod keeper;
 pub(crate) mod keeper_account;
+pub(crate) mod keeper_settings;
 pub(crate) mod keeper_task;
 pub(crate) mod ledger;
 pub(crate) mod ledger_records;
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -95,7 +95,8 @@
     BillCounts, BillSettings, BillState, BillWatermark, PendingBills, RecordedBill,
 };
 pub use billing::router_billing::{BILL_STREAMS, bill_stream};
-pub use budget::keeper::{Keeper, KeeperSettings};
+pub use budget::keeper::Keeper;
+pub use budget::keeper_settings::KeeperSettings;
 pub use budget::keeper_task::ledger_stream;
 pub use budget::ledger::{
     DEDUPE_WINDOW_OFFSETS, LEDGER_SHARDS, Ledger, MAX_BUDGET_TOKENS, shard_of,
@@ -168,6 +169,7 @@
 };
 pub use process::signal::run_until_drained;
 pub use quarantine::crash_evidence::{CrashEvidence, CrashReport, SuspectRequest};
+pub use quarantine::crash_probe::refuses_connections;
 pub use quarantine::part_id::PartId;
 pub use quarantine::part_quarantine::{PartCheck, PartQuarantine, RecordChange};
 pub use request::body::{BodyError, read_body};
--- a/crates/mallowpath/src/process/mod.rs
+++ b/crates/mallowpath/src/process/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod logging;
 pub(crate) mod router;
 pub(crate) mod router_calls;
+pub(crate) mod router_peers;
 pub(crate) mod settings;
 pub(crate) mod signal;
--- a/crates/mallowpath/src/quarantine/part_quarantine.rs
+++ b/crates/mallowpath/src/quarantine/part_quarantine.rs
@@ -113,6 +113,11 @@
         self.quarantined.is_empty()
     }
 
+    /// Returns whether any of `parts` is quarantined.
+    pub fn contains_any(&self, parts: &[PartId]) -> bool {
+        parts.iter().any(|part| self.quarantined.contains_key(part))
+    }
+
     /// Returns the quarantined parts.
     pub fn parts(&self) -> Vec<PartId> {
         self.quarantined.keys().copied().collect()
