--- a/crates/gateway/src/budget/keeper_server.rs
+++ b/crates/gateway/src/budget/keeper_server.rs
@@ -4,13 +4,9 @@
     remote_reservations::{RemoteReservations, ReservationKey},
     reserve::{ReserveError, TokenRequest, reserve_drawn, reserve_held},
 };
-use crate::{
-    process::{Gateway, Phase},
-    quarantine::{handle_crash_notice, handle_parts_cleared},
-};
+use crate::process::{Gateway, Phase};
 use mallowpath::{
-    FrameBody, RateLimitNotice, ReserveAnswerKind, ReserveReply, ReserveTokens, Responder,
-    SettleTokens, WorkspaceId,
+    FrameBody, ReserveAnswerKind, ReserveReply, ReserveTokens, Responder, SettleTokens, WorkspaceId,
 };
 use std::{
     sync::Arc,
@@ -21,37 +17,6 @@
 /// Interval between checks for expired reservations.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Handles a message of another router.
-pub(crate) fn handle_peer_message(gateway: &Arc<Gateway>, body: FrameBody, responder: Responder) {
-    match body {
-        FrameBody::CrashNotice(notice) => handle_crash_notice(gateway, notice),
-        FrameBody::RateLimitNotice(notice) => apply_rate_limit(gateway, &notice),
-        FrameBody::PartsCleared(notice) => handle_parts_cleared(gateway, &notice),
-        FrameBody::ReserveTokens(message) => {
-            tokio::spawn(reserve(Arc::clone(gateway), message, responder));
-        }
-        FrameBody::SettleTokens(message) => settle(&gateway.remote_reservations, message),
-        other => log::debug!(target: "router", "ignoring a message of another router: {other:?}"),
-    }
-}
-
-/// Applies what another router reports about the limit on requests that a backend server states.
-fn apply_rate_limit(gateway: &Gateway, notice: &RateLimitNotice) {
-    let rate_per_s = notice
-        .rate_per_s
-        .filter(|rate_per_s| rate_per_s.is_finite() && *rate_per_s >= 0.0);
-    match notice.backend.parse() {
-        Ok(id) => gateway
-            .backends
-            .set_stated_rate(&id, rate_per_s, gateway.now_ms()),
-        Err(error) => log::warn!(
-            target: "backend",
-            "ignoring the limit of {:?}: {error}",
-            notice.backend,
-        ),
-    }
-}
-
 /// Counts reservations as spent when they expire; never returns.
 pub(crate) async fn run_expiry(gateway: Arc<Gateway>) {
     loop {
@@ -66,7 +31,8 @@
     }
 }
 
-fn settle(reservations: &RemoteReservations, message: SettleTokens) {
+/// Ends a reservation of another router.
+pub(crate) fn settle_for_peer(reservations: &RemoteReservations, message: SettleTokens) {
     let key = ReservationKey {
         router: message.router,
         number: message.number,
@@ -74,8 +40,12 @@
     reservations.settle(key, message.spent_tokens);
 }
 
-/// Reserves tokens and answers.
-async fn reserve(gateway: Arc<Gateway>, message: ReserveTokens, responder: Responder) {
+/// Reserves tokens for another router and answers it.
+pub(crate) async fn reserve_for_peer(
+    gateway: Arc<Gateway>,
+    message: ReserveTokens,
+    responder: Responder,
+) {
     if !keeps_budgets(&gateway) {
         send(&responder, reply(ReserveAnswerKind::Unavailable)).await;
         return;
--- a/crates/gateway/src/budget/mod.rs
+++ b/crates/gateway/src/budget/mod.rs
@@ -22,7 +22,7 @@
 pub use draw_task::DrawTask;
 pub use keeper_client::KeeperClient;
 pub(crate) use keeper_client::{KeeperAnswer, endpoint};
-pub(crate) use keeper_server::{handle_peer_message, run_expiry};
+pub(crate) use keeper_server::{reserve_for_peer, run_expiry, settle_for_peer};
 pub use ledger::{Account, AccountLedger, AccountLine};
 pub use ledger_shard::LedgerShard;
 pub use ledger_view::LedgerView;
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -4,6 +4,7 @@
 
 use super::{
     last_read::LastRead,
+    peer_messages::handle_peer_message,
     relay::serve_relay,
     router_directory::RouterDirectory,
     settings::GatewaySettings,
@@ -16,13 +17,10 @@
     watch_routers::watch_routers,
 };
 use crate::{
-    budget::{
-        BudgetShards, Holding, KeeperClient, RemoteReservations, endpoint, handle_peer_message,
-        run_expiry,
-    },
+    budget::{BudgetShards, Holding, KeeperClient, RemoteReservations, endpoint, run_expiry},
     connection::{CallerConnections, serve_callers},
     placement::{BackendEntry, BackendRegistry, RetryLimiter, RetryLimiterSettings},
-    quarantine::{AnnouncedParts, CrashChecks, SharedQuarantine, run_evaluation},
+    quarantine::{SharedQuarantine, run_evaluation},
     request::{HeadCodec, StateAges},
     version::{CallerLimits, Configuration},
 };
@@ -78,9 +76,6 @@
     pub remote_reservations: RemoteReservations,
     /// The prompt parts that end backend servers.
     pub(crate) quarantine: SharedQuarantine,
-    pub(crate) crash_checks: CrashChecks,
-    /// Prompt parts that were lately announced as harmless, here or elsewhere.
-    pub(crate) announced_parts: AnnouncedParts,
     /// Identifies this process to other routers.
     hello: Hello,
     pub(crate) callers: Arc<CallerConnections>,
@@ -204,8 +199,6 @@
             directory,
             remote_reservations: RemoteReservations::default(),
             quarantine: SharedQuarantine::default(),
-            crash_checks: CrashChecks::default(),
-            announced_parts: AnnouncedParts::default(),
             hello,
             callers: Arc::default(),
             transport,
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod gateway;
 mod json_log;
 mod last_read;
+mod peer_messages;
 mod relay;
 mod router_directory;
 mod settings;
--- a/crates/gateway/src/quarantine/crash_check.rs
+++ b/crates/gateway/src/quarantine/crash_check.rs
@@ -69,7 +69,11 @@
         parts,
         answer_began: broken.answer_began,
     };
-    if gateway.crash_checks.add(&backend.entry.id, suspect) {
+    if gateway
+        .quarantine
+        .crash_checks
+        .add(&backend.entry.id, suspect)
+    {
         let id = backend.entry.id.clone();
         let address = backend.entry.address;
         tokio::spawn(report_crash(Arc::clone(gateway), id, address));
@@ -79,7 +83,7 @@
 async fn report_crash(gateway: Arc<Gateway>, backend: BackendId, address: SocketAddr) {
     sleep(COLLECTION_TIME).await;
     let has_ended = refuses_connections(address).await;
-    let suspects = gateway.crash_checks.take(&backend);
+    let suspects = gateway.quarantine.crash_checks.take(&backend);
     if !has_ended {
         return;
     }
--- a/crates/gateway/src/quarantine/notices.rs
+++ b/crates/gateway/src/quarantine/notices.rs
@@ -39,7 +39,12 @@
         sleep(Duration::from_millis(delay_ms)).await;
         let now_ms = gateway.now_ms();
         let mut parts = parts;
-        parts.retain(|part| gateway.announced_parts.try_announce(*part, now_ms));
+        parts.retain(|part| {
+            gateway
+                .quarantine
+                .announced_parts
+                .try_announce(*part, now_ms)
+        });
         if parts.is_empty() {
             return;
         }
@@ -77,7 +82,7 @@
     let sent_at_ms = now_ms.saturating_sub(notice.sent_ago_ms);
     for part in &notice.parts {
         let part = PartId(*part);
-        gateway.announced_parts.record(part, now_ms);
+        gateway.quarantine.announced_parts.record(part, now_ms);
         gateway.quarantine.lock().clear(part, sent_at_ms, now_ms);
     }
 }
--- a/crates/gateway/src/quarantine/shared_quarantine.rs
+++ b/crates/gateway/src/quarantine/shared_quarantine.rs
@@ -1,6 +1,6 @@
 //! The quarantine of this router, shared by all requests of the process.
 
-use super::notices::announce_cleared;
+use super::{announced_parts::AnnouncedParts, crash_check::CrashChecks, notices::announce_cleared};
 use crate::process::Gateway;
 use mallowpath::{Candidate, CrashReport, PartCheck, PartId, PartQuarantine, pick_n};
 use std::{
@@ -18,11 +18,15 @@
 /// The number of routers that try a part at different times; the others do so with the last.
 const TRIAL_STEPS_MAX: usize = 8;
 
-/// [`PartQuarantine`] behind a mutex.
+/// [`PartQuarantine`] behind a mutex, and what is needed to feed it.
 #[derive(Debug, Default)]
 pub(crate) struct SharedQuarantine {
     /// No other lock is acquired while this one is held.
     quarantine: Mutex<PartQuarantine>,
+    /// The backend servers that are being checked for a crash.
+    pub(super) crash_checks: CrashChecks,
+    /// The parts that were lately announced as harmless, here or elsewhere.
+    pub(super) announced_parts: AnnouncedParts,
 }
 
 impl SharedQuarantine {
