--- a/crates/mallowpath/src/request/attempts.rs
+++ b/crates/mallowpath/src/request/attempts.rs
@@ -100,6 +100,33 @@
             }
         }
     }
+
+    /// Records whether the backend server survived the prompt.
+    pub(crate) fn record_prompt_result(
+        &self,
+        run: &RequestRun,
+        attempt: &Attempt,
+        ended: &AttemptEnd,
+    ) {
+        let AttemptEnd::End(end) = ended else {
+            return;
+        };
+        let prefixes = &run.prefix_hashes;
+        if end.backend_ended {
+            log::warn!(
+                "backend server {} ended at request {}",
+                attempt.backend,
+                run.id
+            );
+            self.quarantine
+                .record_crash(&attempt.backend, prefixes, &run.body);
+        } else if end.whole {
+            let elapsed = Duration::from_millis(now_ms().saturating_sub(attempt.submitted_at_ms));
+            if let Some(sent_at) = Instant::now().checked_sub(elapsed) {
+                self.quarantine.record_completion(prefixes, sent_at);
+            }
+        }
+    }
 }
 
 /// Returns the result of an attempt for the health of its backend server.
