--- a/crates/gateway/src/placement/stated_rate_limit.rs
+++ b/crates/gateway/src/placement/stated_rate_limit.rs
@@ -17,6 +17,9 @@
 /// second.
 const PROBE_INTERVAL_MS: f64 = 8_000.0;
 
+/// The lowest limit from which the time between these requests follows; a limit may be 0.
+const PROBED_RATE_MIN_PER_S: f64 = 0.3;
+
 /// The longest time between two requests of a router that has no share.
 const PROBE_INTERVAL_MAX_MS: f64 = 600_000.0;
 
@@ -92,12 +95,13 @@
         let senders_max = whole(rate_per_s + SENDERS_MIN);
         let RateSharers { own, routers } = sharers;
         match rate_share(rate_per_s, senders_max, own, routers, backend) {
-            Some(share_per_s) => stated.raise_allowance(share_per_s, now_ms),
-            None => stated.is_probe_due(routers.len(), now_ms),
+            Some(share_per_s) if share_per_s > 0.0 => stated.raise_allowance(share_per_s, now_ms),
+            // A limit of 0 leaves every router without a share.
+            _ => stated.is_probe_due(routers.len(), now_ms),
         }
     }
 
-    /// Counts a request that is sent at `now_ms`.
+    /// Counts a request that is sent.
     pub fn record_sent(&mut self) {
         if let Some(stated) = &mut self.stated {
             stated.allowance = (stated.allowance - 1.0).max(0.0);
@@ -130,7 +134,8 @@
 
     /// Returns whether it is time for a request of a router without a share.
     fn is_probe_due(&mut self, router_count: usize, now_ms: u64) -> bool {
-        let interval_ms = router_count as f64 * PROBE_INTERVAL_MS / self.rate_per_s;
+        let rate_per_s = self.rate_per_s.max(PROBED_RATE_MIN_PER_S);
+        let interval_ms = router_count as f64 * PROBE_INTERVAL_MS / rate_per_s;
         let interval_ms = interval_ms.min(PROBE_INTERVAL_MAX_MS);
         let probe_at_ms = *self.probe_at_ms.get_or_insert_with(|| {
             let delay_ms = interval_ms * rand::random_range(PROBE_JITTER);
--- a/crates/gateway/tests/stated_rate_limit.rs
+++ b/crates/gateway/tests/stated_rate_limit.rs
@@ -119,6 +119,15 @@
     assert_eq!(limit.rate_per_s(), None);
 }
 
+#[test]
+fn server_that_stated_a_limit_of_zero_is_asked_again() {
+    for router_count in [1, 4, 5, 12] {
+        let sent_at_ms = sent_at_ms(router_count, 0.0, 900_000);
+        assert!(!sent_at_ms.is_empty(), "{router_count} routers");
+        assert!(most_in_window(&sent_at_ms) <= 5, "{router_count} routers");
+    }
+}
+
 #[test]
 fn limit_of_zero_stops_nearly_all_requests() {
     assert_eq!(sent_at_ms(5, 0.0, 60_000).len(), 0);
