--- a/crates/mallowpath/src/quarantine/crash_evidence.rs
+++ b/crates/mallowpath/src/quarantine/crash_evidence.rs
@@ -30,12 +30,9 @@
 /// The weight at which a part is convicted.
 const CONVICTION_WEIGHT: u32 = 6;
 
-/// The highest weight of one prompt, which may be sent several times.
+/// The highest weight of one prompt, which may be sent several times; too little for a conviction.
 const PROMPT_WEIGHT_MAX: u32 = 4;
 
-/// The number of different prompts without which no part is convicted.
-const PROMPTS_MIN: usize = 2;
-
 /// A request whose answer broke off when its backend server ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SuspectRequest {
@@ -264,7 +261,7 @@
     let mut heaviest = None;
     for by_prompt in weights.values() {
         let weight: u32 = by_prompt.values().sum();
-        if by_prompt.len() >= PROMPTS_MIN && weight > highest {
+        if weight > highest {
             highest = weight;
             heaviest = Some(by_prompt);
         }
--- a/crates/mallowpath/tests/quarantine.rs
+++ b/crates/mallowpath/tests/quarantine.rs
@@ -249,8 +249,20 @@
     }
     quarantine.evaluate(4_000);
     assert!(quarantine.len() <= 1_024);
-    // What does not fit is not removed from the store.
     let changes = quarantine.record_changes(10_000);
+    assert!(changes.len() <= 2_048, "{}", changes.len());
+    assert!(changes.iter().all(|change| change.renewals.is_some()));
+}
+
+#[test]
+fn stored_record_that_does_not_fit_is_not_removed() {
+    let mut quarantine = with_deadly_part();
+    // Full with the part of its own, which is not stored, and those of the records.
+    for part in 0..1_024 {
+        quarantine.apply_record(PartId(10_000 + part), Some(0), RIPE_MS);
+    }
+    assert_eq!(quarantine.len(), 1_024);
+    let changes = quarantine.record_changes(RIPE_MS);
     assert!(changes.iter().all(|change| change.renewals.is_some()));
 }
 
