--- a/crates/gateway/src/placement/stated_rate_limit.rs
+++ b/crates/gateway/src/placement/stated_rate_limit.rs
@@ -21,7 +21,7 @@
 const PROBED_RATE_MIN_PER_S: f64 = 0.3;
 
 /// The longest time between two requests of a router that has no share.
-const PROBE_INTERVAL_MAX_MS: f64 = 600_000.0;
+const PROBE_INTERVAL_MAX_MS: f64 = 3_600_000.0;
 
 /// Range from which the time to the next request of a router without a share is drawn, as a share of
 /// the interval.
