--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -77,17 +77,23 @@
     stream.set_read_timeout(Some(Duration::from_millis(request.deadline_ms + 500)))?;
     let body = "{}";
     let (prompt, output) = request.tokens;
-    let text = format!(
-        "POST {}2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {}\r\nModel: m\r\n\
-         Token-Count: {prompt},{output}\r\nPrompt-Prefix: {:x}:{prompt}\r\nDeadline-Ms: {}\r\n\
-         X-Api-Key: {}\r\nContent-Length: {}\r\n\r\n{body}",
+    let mut text = format!(
+        "POST {}2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\n\
+         X-Api-Key: {}\r\nContent-Length: {}\r\n",
         request.path,
         request.attempt,
-        hash(request.attempt),
         request.deadline_ms,
         request.key,
         body.len(),
     );
+    if prompt > 0 {
+        let part = hash(request.attempt);
+        text.push_str(&format!(
+            "Model: m\r\nToken-Count: {prompt},{output}\r\nPrompt-Prefix: {part:x}:{prompt}\r\n"
+        ));
+    }
+    text.push_str("\r\n");
+    text.push_str(body);
     stream.write_all(text.as_bytes())?;
     let mut reader = BufReader::new(stream);
     let status = read_line(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -37,6 +37,9 @@
 /// The path of the route whose streams may be resumed.
 pub const RESUMABLE: &str = "/lohu930/";
 
+/// The path of the route whose requests may run once at most.
+pub const PLAIN: &str = "/puxa403/";
+
 /// Interval at which an engine writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
@@ -269,7 +272,7 @@
             )
         };
         let configuration = format!(
-            r#"{{"version":7,"routes":[{},{}],"services":[{{"name":"huvo11a","health-path":"/health","max-connections":370,"protocol":"h1","tls":false,"engine":{{"slot-count":64,"kv-capacity-tokens":294699,"stride":{STRIDE},"models":[{{"name":"m"}}]}}}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{}]}}"#,
+            r#"{{"version":7,"routes":[{},{},{PLAIN_ROUTE}],"services":[{{"name":"huvo11a","health-path":"/health","max-connections":370,"protocol":"h1","tls":false,"engine":{{"slot-count":64,"kv-capacity-tokens":294699,"stride":{STRIDE},"models":[{{"name":"m"}}]}}}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{}]}}"#,
             route("r-1", RESUMABLE, true),
             route("r-2", "/pufi791/", false),
             tenants.join(",")
@@ -372,6 +375,9 @@
     )
 }
 
+/// A route whose requests may run once at most; served by the same engines, to keep the case small.
+const PLAIN_ROUTE: &str = r#"{"name":"r-3","host":"ficu95.example","path-prefix":"/puxa403/","route-type":"non_idempotent","timeout-ms":1500,"target-latency-ms":300,"priority":2,"service":"huvo11a","max-attempts":1,"public":false,"sticky":false,"resumable":false}"#;
+
 /// The settings that are the same on all machines, from the site file.
 const FIXED_SETTINGS: &str = "\
 limits.cpu-cores=1
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 
 mod case_drill;
 mod case_epoch;
+mod case_extra;
 mod case_piece;
 mod case_silence;
 mod client;
@@ -48,6 +49,7 @@
     let outcome = match case.as_str() {
         "epoch" => case_epoch::run(&record, trouble),
         "drill" => case_drill::run(&record, trouble),
+        "extra" => case_extra::run(&record, trouble),
         "piece" => case_piece::run(&record, trouble),
         "silence" => case_silence::run(&record, trouble),
         _ => Err(format!("unknown case {case}")),
