--- a/review/standins/case_drill.rs
+++ b/review/standins/case_drill.rs
@@ -2,13 +2,19 @@
 
 use crate::{
     Outcome,
-    case_epoch::{ask, kept_tenant, verdict, whole_stream},
-    deployment::Deployment,
+    case_epoch::{EVENTS, ask, verdict, whole_stream},
+    client::{ClientRequest, send},
+    deployment::{Deployment, RESUMABLE, STRIDE},
     process::SIGTERM,
     record::Record,
 };
 use std::{
-    thread::sleep,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle, sleep},
     time::{Duration, Instant},
 };
 
@@ -18,14 +24,19 @@
 /// Time after the drill for routers and engines to notice it.
 const AFTER_DRILL: Duration = Duration::from_secs(8);
 
+/// Time between two requests of other tenants.
+const TRAFFIC_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How often a refused request is sent again at most.
 const TRIES: usize = 6;
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let mut deployment = Deployment::start(record, 2, [whole_stream(), whole_stream()])?;
-    let leaving = deployment.account(1);
-    let tenant = kept_tenant(&deployment, &leaving)?;
     sleep(Duration::from_secs(2));
+    let (tenant, others) = choose_tenants(&deployment)?;
+    let is_over = Arc::new(AtomicBool::new(false));
+    let traffic = send_traffic(deployment.front(0), others, Arc::clone(&is_over), record);
+    sleep(Duration::from_secs(1));
     deployment.store.take_copy();
     let copied = Instant::now();
     record.line("store: a copy is taken");
@@ -61,5 +72,49 @@
         }
         sleep(Duration::from_secs(1));
     }
+    is_over.store(true, Ordering::Relaxed);
+    let _ = traffic.join();
     verdict(&deployment, record, &tenant, spent)
 }
+
+/// Returns a tenant whose budget the host keeps that leaves, in a topic of the ledger in which the other
+/// one keeps none, and the tenants whose budgets the other one keeps.
+fn choose_tenants(deployment: &Deployment) -> Result<(String, Vec<String>), String> {
+    let (staying, leaving) = (deployment.account(0), deployment.account(1));
+    let grants = deployment.store.grants();
+    let of_staying = || grants.iter().filter(|grant| grant.holder == staying);
+    let others = of_staying().map(|grant| grant.tenant.clone()).collect();
+    for grant in &grants {
+        if grant.holder == leaving && !of_staying().any(|other| other.topic == grant.topic) {
+            return Ok((grant.tenant.clone(), others));
+        }
+    }
+    Err("the routers keep budgets in the same topics".to_owned())
+}
+
+/// Sends small requests of other tenants to the router that stays, until the case is over.
+fn send_traffic(
+    router: SocketAddr,
+    tenants: Vec<String>,
+    is_over: Arc<AtomicBool>,
+    record: &Record,
+) -> JoinHandle<()> {
+    let record = record.clone();
+    thread::spawn(move || {
+        let mut number = 0;
+        while !is_over.load(Ordering::Relaxed) {
+            for tenant in &tenants {
+                number += 1;
+                let request = ClientRequest {
+                    path: RESUMABLE,
+                    key: &tenant.replacen('t', "key-", 1),
+                    attempt: &format!("traffic-{number}"),
+                    tokens: (100, EVENTS * STRIDE),
+                    deadline_ms: 6_000,
+                };
+                send(router, &request, &record);
+                sleep(TRAFFIC_INTERVAL);
+            }
+        }
+    })
+}
--- a/review/standins/case_epoch.rs
+++ b/review/standins/case_epoch.rs
@@ -97,9 +97,9 @@
 pub fn kept_tenant(deployment: &Deployment, account: &str) -> Result<String, String> {
     let until = Instant::now() + Duration::from_secs(10);
     while Instant::now() < until {
-        for (holder, tenant) in deployment.store.grants() {
-            if holder == account {
-                return Ok(tenant);
+        for grant in deployment.store.grants() {
+            if grant.holder == account {
+                return Ok(grant.tenant);
             }
         }
         sleep(Duration::from_millis(50));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -57,6 +57,14 @@
     known: VecDeque<(u64, u64)>,
 }
 
+/// Tokens of a tenant that a router holds.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    pub topic: String,
+    pub holder: String,
+    pub tenant: String,
+}
+
 /// An append that is done late and not answered.
 #[derive(Debug, Clone)]
 pub struct LateAppend {
@@ -153,7 +161,7 @@
     }
 
     /// Returns who holds tokens of which tenant, as the newest accounts of the ledger show.
-    pub fn grants(&self) -> Vec<(String, String)> {
+    pub fn grants(&self) -> Vec<Grant> {
         let state = self.shared.0.lock().unwrap();
         let mut grants = Vec::new();
         for (name, topic) in &state.topics {
@@ -162,7 +170,11 @@
             }
             for (holder, (value, _)) in &topic.newest {
                 for tenant in granted_workspaces(value) {
-                    grants.push((holder.clone(), tenant));
+                    grants.push(Grant {
+                        topic: name.clone(),
+                        holder: holder.clone(),
+                        tenant,
+                    });
                 }
             }
         }
