--- a/review/standins/case_silence.rs
+++ b/review/standins/case_silence.rs
@@ -1,4 +1,4 @@
-//! A router that is being stopped cuts streams whose engine pauses, because another engine is full.
+//! A router that is being stopped cuts streams whose engines pause, although nobody else takes them.
 
 use crate::{
     Outcome, Verdict,
@@ -10,7 +10,10 @@
     record::Record,
 };
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread::{self, sleep},
     time::Duration,
 };
@@ -31,9 +34,9 @@
 const SIGNAL_AFTER: Duration = Duration::from_millis(300);
 
 pub fn run(record: &Record, trouble: bool) -> Outcome {
-    // The engine that gets the first request; the other one is full.
-    let serving = Arc::new(Mutex::new(None));
-    let engine = || answer(Arc::clone(&serving), trouble);
+    // With these streams, both engines are full: other routers' requests have the other slots.
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let engine = || answer(Arc::clone(&accepted), trouble);
     let mut deployment = Deployment::start(record, 1, [engine(), engine()])?;
     // A router that has been in touch for more than contact-ms.
     sleep(Duration::from_secs(4));
@@ -80,16 +83,10 @@
     })
 }
 
-/// Returns an engine's behaviour: the first one that is asked serves, the other one is full.
-fn answer(serving: Arc<Mutex<Option<Arc<str>>>>, trouble: bool) -> Arc<Answer> {
+/// Returns an engine's behaviour: the first streams are served, then it is full.
+fn answer(accepted: Arc<AtomicUsize>, trouble: bool) -> Arc<Answer> {
     Arc::new(move |engine, request, stream| {
-        let first = Arc::clone(
-            serving
-                .lock()
-                .unwrap()
-                .get_or_insert_with(|| engine.id.clone()),
-        );
-        if first != engine.id {
+        if accepted.fetch_add(1, Ordering::SeqCst) >= STREAMS {
             return engine.reject_as_full(request, stream);
         }
         engine.begin_run(request);
