--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,9 @@
 //! Stand-ins for the clients, the model engines and the platform, and the cases that use them.
 //!
-//! Usage: `review-standins CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held and 2 if the
-//! case couldn't run. With `TROUBLE=0` in the environment the disruption is left out.
+//! Usage: `standins CASE FOLDER TROUBLE`; called by the `run.sh` of each case. Exits with 1 if the rule
+//! was broken, 0 if it held and 2 if the case couldn't run. With 0 for TROUBLE the disruption is left out.
+//!
+//! This folder is code that all cases share, so it has no claim of its own.
 
 mod case_drill;
 mod case_epoch;
@@ -33,11 +35,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-standins CASE FOLDER");
+    let [_, case, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: standins CASE FOLDER TROUBLE");
         exit(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
     thread::spawn(|| {
         thread::sleep(CASE_TIME_MAX);
         eprintln!("the case took too long");
