Streams: the end of a body without an event doesn't make a stream complete

An error in place of the resumption never reached callers here.

Cause: a stream counted as whole once the body of its source had ended. The only check against that asked whether the whole answer had an event yet, so that it never applied to a resumption, and only about bodies without a length or chunks. The same held for a first answer without any event, and for an unframed one to a caller that takes up a stream.

Why it works: StreamEnd decides apart from I/O. A body without an event ends the stream only if its answer has a frame and nothing can be missing. Everything else goes the way of a source that broke off, which is bounded by the route's attempts and ends as an answer that doesn't look complete.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -93,7 +93,7 @@
 };
 pub use request::{
     AnswerKind, AnswerOwner, BackendAnswer, BackendRequestHead, CallerRequest, EventError,
-    EventSplitter, HeadCodec, PromptPart, SilenceWatch, TokenCount, Urgency,
+    EventSplitter, HeadCodec, PromptPart, SilenceWatch, StreamEnd, StreamPart, TokenCount, Urgency,
     strip_connection_headers,
 };
 pub use stream_origin::{
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -19,6 +19,7 @@
 mod retry_after;
 mod silence;
 mod stream;
+mod stream_end;
 mod suspicion;
 
 pub(crate) use answer::AnswerBody;
@@ -33,3 +34,4 @@
 };
 pub(crate) use request_log::StateAges;
 pub use silence::SilenceWatch;
+pub use stream_end::{StreamEnd, StreamPart};
--- a/crates/gateway/src/request/open_stream.rs
+++ b/crates/gateway/src/request/open_stream.rs
@@ -1,6 +1,6 @@
 //! The stream of events of one backend server.
 
-use super::attempt::StartedAnswer;
+use super::{attempt::StartedAnswer, stream_end::StreamPart};
 use crate::{connection::BackendConnection, placement::InFlight};
 use http::header;
 use hyper::body::Incoming;
@@ -14,14 +14,17 @@
     pub(super) idle_timeout_ms: Option<u64>,
     /// Whether the body has a length or chunks, which show whether it is complete.
     pub(super) is_framed: bool,
+    /// What the backend server was asked for.
+    pub(super) part: StreamPart,
 }
 
 impl OpenStream {
-    pub(super) fn new(started: StartedAnswer) -> Self {
+    pub(super) fn new(started: StartedAnswer, part: StreamPart) -> Self {
         let headers = &started.head.headers;
         Self {
             is_framed: headers.contains_key(header::CONTENT_LENGTH)
                 || headers.contains_key(header::TRANSFER_ENCODING),
+            part,
             body: started.body,
             connection: started.connection,
             in_flight: started.in_flight,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -17,6 +17,7 @@
     request_log::{Reason, RequestLog},
     resume::{ResumeAttempt, resume},
     silence::SilenceWatch,
+    stream_end::{StreamEnd, StreamPart},
 };
 use crate::budget::Reservation;
 use bytes::Bytes;
@@ -99,10 +100,15 @@
         let silence = SilenceWatch::new(settings.silence_max);
         let first_check = deadline.min(silence.trial_at(Instant::now()));
         let last_event_id = attempts.caller_request.last_event_id;
+        let part = if attempts.caller_request.takes_up_stream() {
+            StreamPart::TakenUp
+        } else {
+            StreamPart::Whole
+        };
         Self {
             attempts: Some(attempts),
             log: Some(log),
-            source: Source::Open(Box::new(OpenStream::new(started))),
+            source: Source::Open(Box::new(OpenStream::new(started, part))),
             splitter: EventSplitter::resuming_after(last_event_id),
             reservation,
             settings,
@@ -177,9 +183,7 @@
             None if self.splitter.has_partial() => {
                 Err("the stream ended within an event".to_owned())
             }
-            None if self.ended_unframed_without_event() => {
-                Err("the connection closed before the first event".to_owned())
-            }
+            None if !self.is_whole() => Err("the stream ended without an event".to_owned()),
             None => return self.complete(),
         };
         match events {
@@ -218,13 +222,25 @@
         }
     }
 
-    /// Returns whether the source sent no event and its end is only that of its connection, which a
-    /// backend server that ends closes, too.
-    fn ended_unframed_without_event(&self) -> bool {
+    /// Returns whether the stream is whole, now that the body of its source has ended.
+    fn is_whole(&self) -> bool {
         let Source::Open(open) = &self.source else {
             return false;
         };
-        !open.is_framed && !open.in_flight.has_begun() && self.splitter.last_id().is_none()
+        let end = StreamEnd {
+            part: open.part,
+            has_events: open.in_flight.has_begun(),
+            is_framed: open.is_framed,
+            tokens_given: self.output_given(),
+            tokens_max: self.settings.tokens.map(|tokens| tokens.output_max),
+        };
+        end.is_whole()
+    }
+
+    /// Returns the number of output tokens in the events given out; 0 if that of an event is unknown.
+    fn output_given(&self) -> u64 {
+        let events = self.splitter.events();
+        events.saturating_mul(self.settings.tokens_per_event)
     }
 
     /// Returns the events that are complete with this frame and counts them as spent.
@@ -252,6 +268,7 @@
     ///
     /// Counts the whole reservation if the number of tokens in an event is unknown.
     fn update_spent(&mut self) {
+        let output = self.output_given();
         let (Some(reservation), Some(tokens)) = (&mut self.reservation, self.settings.tokens)
         else {
             return;
@@ -260,8 +277,6 @@
             reservation.mark_all_spent();
             return;
         }
-        let events = self.splitter.events();
-        let output = events.saturating_mul(self.settings.tokens_per_event);
         let output = output.min(tokens.output_max);
         reservation.set_spent(tokens.prompt.saturating_add(output));
         if let Some(log) = &mut self.log {
@@ -305,7 +320,7 @@
         let Some(started) = started else {
             return self.break_off(Reason::StreamBroken, "no backend server resumed the stream");
         };
-        self.source = Source::Open(Box::new(OpenStream::new(started)));
+        self.source = Source::Open(Box::new(OpenStream::new(started, StreamPart::Resumed)));
         self.silence.end();
         self.reset_timer(Instant::now());
         Step::Again
