Answers: a success without framing and body counts as broken off

Callers got 200 without a body and a Content-Length of 0 that the gateway stated itself, on routes that may be repeated and on others. A head that ended before its blank line gave 502 before, too.

Cause: read_whole took any end of a body for its end, also where only a closed connection said that there was one; a server that fails closes its connections, too.

Why it works: one function says for whole answers and for streams whether an answer shows its own end. Where it doesn't, a success without a body goes the way of an answer that broke off: to another server, or 502.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -11,7 +11,8 @@
     process::Gateway,
 };
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response};
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use mallowpath::{FrameBody, PartId, RateLimitNotice, WorkspaceId};
@@ -61,6 +62,15 @@
     pub(crate) fn is_stream(&self) -> bool {
         self.backend_answer.kind == AnswerKind::Stream && self.head.status.is_success()
     }
+
+    /// Returns whether the end of the body shows in the answer itself, and not only in the end of its
+    /// connection, which a backend server that fails closes, too.
+    pub(crate) fn is_framed(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+            || self.body.is_end_stream()
+    }
 }
 
 /// The outcome of an attempt.
@@ -332,11 +342,12 @@
 /// Reads the whole body of an answer and returns its connection to the pool.
 ///
 /// Returns `None` when the body breaks off, exceeds [`BODY_MAX_BYTES`] or is not complete at
-/// `deadline`.
+/// `deadline`, and for a success of which only the end of the connection says that it has no body.
 pub(crate) async fn read_whole(
     started: StartedAnswer,
     deadline: Instant,
 ) -> Option<(response::Parts, Bytes)> {
+    let is_framed = started.is_framed();
     let StartedAnswer {
         head,
         backend_answer,
@@ -361,6 +372,9 @@
     };
     let whole = tokio::time::timeout_at(deadline.into(), read).await;
     whole.ok()??;
+    if bytes.is_empty() && !is_framed && head.status.is_success() {
+        return None;
+    }
     in_flight
         .backend()
         .pool
--- a/crates/gateway/src/request/open_stream.rs
+++ b/crates/gateway/src/request/open_stream.rs
@@ -2,7 +2,6 @@
 
 use super::{attempt::StartedAnswer, stream_end::StreamPart};
 use crate::{connection::BackendConnection, placement::InFlight};
-use http::header;
 use hyper::body::Incoming;
 use mallowpath::AnswerProgress;
 
@@ -20,10 +19,8 @@
 
 impl OpenStream {
     pub(super) fn new(started: StartedAnswer, part: StreamPart) -> Self {
-        let headers = &started.head.headers;
         Self {
-            is_framed: headers.contains_key(header::CONTENT_LENGTH)
-                || headers.contains_key(header::TRANSFER_ENCODING),
+            is_framed: started.is_framed(),
             part,
             body: started.body,
             connection: started.connection,
