Shutdown: a router takes only requests that end before it does

Cause: nothing compared the time of a request with the end of the process. What was on its way when idle connections closed was taken as in normal operation up to the last moment.

Why it works: the end of the service is known when the shutdown begins. A request is sent only if its deadline is no later, or if the usual duration of its route leaves a margin, a wide one where a cut request may not be sent again; any other is refused as not run and closes its connection, so that another router serves it. What is without an answer at the end of the service gets one, and no attempt begins after it.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -86,10 +86,10 @@
 };
 pub use process::{
     AppendCall, AppendId, AppendOutcome, BudgetKeeper, Decoders, Gateway, GatewaySettings,
-    GenerationChange, GenerationTracker, KnownSpan, ListenSettings, LogGuard, NewestCall,
-    PeerRouter, Phase, ReadCall, RouterDirectory, RouterHost, SidecarSettings, Store,
-    StoreGeneration, StorePage, StoreRecord, StoreTransport, Topic, TopicRead, TopicReads,
-    run_relay, start_json_logging,
+    GenerationChange, GenerationTracker, GraceRequest, KnownSpan, ListenSettings, LogGuard,
+    NewestCall, PeerRouter, Phase, ReadCall, RouteDurations, RouterDirectory, RouterHost,
+    SidecarSettings, Store, StoreGeneration, StorePage, StoreRecord, StoreTransport, Topic,
+    TopicRead, TopicReads, UsualDuration, run_relay, start_json_logging,
 };
 pub use request::{
     AnswerKind, AnswerOwner, BackendAnswer, BackendRequestHead, CallerRequest, EventError,
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -4,11 +4,12 @@
 
 use super::{
     former_configurations::FormerConfigurations,
+    grace_period::GracePeriod,
     peer_messages::handle_peer_message,
     relay::serve_relay,
     router_directory::RouterDirectory,
     settings::GatewaySettings,
-    shutdown::shut_down,
+    shutdown::{ShutdownTimes, shut_down},
     sidecar::listen,
     state_dump::admin_hooks,
     store::Store,
@@ -99,6 +100,8 @@
     pub(crate) configuration_reads: Arc<TopicReads>,
     pub(crate) backends_reads: Arc<TopicReads>,
     pub(super) phase: watch::Sender<Phase>,
+    /// Which requests end before the process does.
+    pub(crate) grace_period: GracePeriod,
     /// Notified when the graceful shutdown is complete.
     pub(super) ended: Notify,
     started_at: Instant,
@@ -230,6 +233,7 @@
             configuration_reads: Arc::new(TopicReads::new(Duration::ZERO)),
             backends_reads: Arc::new(TopicReads::new(reregistration_time)),
             phase: watch::Sender::new(Phase::Serving),
+            grace_period: GracePeriod::default(),
             ended: Notify::new(),
             started_at: Instant::now(),
         }
@@ -263,7 +267,7 @@
     }
 
     /// Returns the time from the termination signal to the end of the process.
-    pub(super) fn shutdown_grace(&self) -> Duration {
+    fn shutdown_grace(&self) -> Duration {
         Duration::from_millis(self.reloadable_settings().shutdown_grace_ms)
     }
 
@@ -283,8 +287,10 @@
         });
         if has_started {
             log::info!(target: "process", "draining");
+            let times = ShutdownTimes::new(Instant::now(), self.shutdown_grace());
+            self.grace_period.begin(times.service_end);
             self.directory.stop_keeping();
-            tokio::spawn(shut_down(Arc::clone(self)));
+            tokio::spawn(shut_down(Arc::clone(self), times));
         }
     }
 
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -3,11 +3,14 @@
 mod follow_topic;
 mod former_configurations;
 mod gateway;
+mod grace_period;
+mod grace_request;
 mod json_log;
 mod peer_messages;
 mod read_times;
 mod relay;
 mod reports;
+mod route_durations;
 mod router_directory;
 mod settings;
 mod shutdown;
@@ -25,9 +28,11 @@
 mod watch_routers;
 
 pub use gateway::{Gateway, Phase};
+pub use grace_request::GraceRequest;
 pub use json_log::{LogGuard, start_json_logging};
 pub(crate) use json_log::{log_event, log_request};
 pub(crate) use read_times::ReadTimes;
+pub use route_durations::{RouteDurations, UsualDuration};
 pub use router_directory::{BudgetKeeper, PeerRouter, RouterDirectory, RouterHost};
 pub use settings::{GatewaySettings, ListenSettings, SidecarSettings};
 pub use sidecar::run_relay;
--- a/crates/gateway/src/process/shutdown.rs
+++ b/crates/gateway/src/process/shutdown.rs
@@ -17,20 +17,50 @@
 /// The part of the margin in which other routers are still told the last accounts.
 const LAST_ACCOUNTS_TIME: Duration = Duration::from_millis(200);
 
+/// The time before the end of the service in which the last answers are written.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Interval between checks for open reservations of other routers during the shutdown.
 const RESERVATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The times of a graceful shutdown.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ShutdownTimes {
+    /// When all requests must have been answered.
+    pub(super) service_end: Instant,
+    /// When the connections of callers must have been closed.
+    connections_end: Instant,
+    /// When the unspent tokens must have been returned.
+    end: Instant,
+}
+
+impl ShutdownTimes {
+    /// Returns the times of a shutdown that begins at `now` and may take `grace`.
+    pub(super) fn new(now: Instant, grace: Duration) -> Self {
+        let end = now + grace.saturating_sub(GRACE_MARGIN);
+        let connections_end = end.checked_sub(TOKEN_RETURN_TIME).unwrap_or(end);
+        let service_end = connections_end.checked_sub(ANSWER_TIME);
+        Self {
+            service_end: service_end.unwrap_or(connections_end),
+            connections_end,
+            end,
+        }
+    }
+}
+
 /// Shuts down gracefully.
 ///
 /// Waits for the load balancer to notice, closes idle connections, waits for requests to end, returns
 /// the unspent tokens, and tells the other routers the last accounts.
-pub(super) async fn shut_down(gateway: Arc<Gateway>) {
-    let started_at = Instant::now();
-    let end = started_at + gateway.shutdown_grace().saturating_sub(GRACE_MARGIN);
+pub(super) async fn shut_down(gateway: Arc<Gateway>, times: ShutdownTimes) {
+    let ShutdownTimes {
+        connections_end,
+        end,
+        ..
+    } = times;
     sleep(Duration::from_millis(gateway.settings.drain_notice_ms)).await;
     gateway.phase.send_replace(Phase::Closing);
-    let serving_deadline = end.checked_sub(TOKEN_RETURN_TIME).unwrap_or(end);
-    if timeout_at(serving_deadline.into(), gateway.callers.all_closed())
+    if timeout_at(connections_end.into(), gateway.callers.all_closed())
         .await
         .is_err()
     {
@@ -40,7 +70,7 @@
             "shutdown deadline reached; ending with {open} connections open",
         );
     }
-    wait_for_reservations(&gateway, serving_deadline).await;
+    wait_for_reservations(&gateway, connections_end).await;
     let versions_in_use = gateway.backends.versions_in_use();
     let write_origins = gateway.stream_origins.write(&versions_in_use);
     let return_tokens = async {
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -148,6 +148,19 @@
     }
 }
 
+/// Rejects a request that might not end before a router that shuts down.
+pub(super) fn admit_in_grace_period(
+    gateway: &Gateway,
+    route: &Route,
+    deadline: Instant,
+) -> Result<(), Rejection> {
+    if gateway.grace_period.allows(route, deadline) {
+        Ok(())
+    } else {
+        Err(Rejection::shutting_down())
+    }
+}
+
 /// Rejects a request for which the unspent rest of its budget is known to be too small.
 pub(super) fn admit_budget(
     gateway: &Gateway,
@@ -192,23 +205,25 @@
     Err(Rejection::no_capacity(Reason::Overloaded, remaining))
 }
 
-/// Reads a complete body of at most `max_bytes` before `deadline`.
+/// Reads a complete body of at most `max_bytes` before `deadline` and the end of the service.
 pub(super) async fn read_body(
+    gateway: &Gateway,
     body: Incoming,
     max_bytes: u64,
     deadline: Instant,
 ) -> Result<Bytes, Rejection> {
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    match tokio::time::timeout_at(deadline.into(), mallowpath::read_body(body, max_bytes)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge)) => Err(Rejection::new(
+    let read = mallowpath::read_body(body, max_bytes);
+    match gateway.grace_period.run_until(deadline, read).await {
+        Some(Ok(body)) => Ok(body),
+        Some(Err(BodyError::TooLarge)) => Err(Rejection::new(
             StatusCode::PAYLOAD_TOO_LARGE,
             Reason::BodyTooLarge,
         )),
-        Ok(Err(BodyError::Interrupted(_))) => {
+        Some(Err(BodyError::Interrupted(_))) => {
             Err(Rejection::new(StatusCode::BAD_REQUEST, Reason::BodyCutOff))
         }
-        Err(_) => Err(Rejection::new(
+        None => Err(Rejection::new(
             StatusCode::REQUEST_TIMEOUT,
             Reason::BodyCutOff,
         )),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -128,9 +128,7 @@
             backend,
             last_event_id,
         ));
-        let sent = tokio::time::timeout_at(give_up_at.into(), sending)
-            .await
-            .ok();
+        let sent = gateway.grace_period.run_until(give_up_at, sending).await;
         if !may_reuse || !matches!(sent, Some(SendOutcome::Unsent(_))) {
             break (sent, connection);
         }
@@ -342,8 +340,9 @@
 /// Reads the whole body of an answer and returns its connection to the pool.
 ///
 /// Returns `None` when the body breaks off, exceeds [`BODY_MAX_BYTES`] or is not complete at
-/// `deadline`, and for a success of which only the end of the connection says that it has no body.
+/// `deadline` or the end of the service, and for a success of which only the end of the connection says that it has no body.
 pub(crate) async fn read_whole(
+    gateway: &Gateway,
     started: StartedAnswer,
     deadline: Instant,
 ) -> Option<(response::Parts, Bytes)> {
@@ -370,8 +369,7 @@
         }
         Some(())
     };
-    let whole = tokio::time::timeout_at(deadline.into(), read).await;
-    whole.ok()??;
+    gateway.grace_period.run_until(deadline, read).await??;
     if bytes.is_empty() && !is_framed && head.status.is_success() {
         return None;
     }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -119,6 +119,10 @@
                 self.reason = Reason::Timeout;
                 return self.finish(&mut log, reservation);
             }
+            if !self.is_allowed_in_grace_period() {
+                self.reason = Reason::ShuttingDown;
+                return self.finish(&mut log, reservation);
+            }
             let Some((backend, prefill_tokens)) = self.choose_backend(&mut log) else {
                 return self.finish(&mut log, reservation);
             };
@@ -165,6 +169,12 @@
         }
     }
 
+    /// Returns whether the router, if it shuts down, goes on for as long as the request takes.
+    fn is_allowed_in_grace_period(&self) -> bool {
+        let grace_period = &self.gateway.grace_period;
+        grace_period.allows(&self.route, self.outgoing_request.deadline)
+    }
+
     /// Chooses the next backend server and counts it as tried.
     pub(super) fn choose_backend(&mut self, log: &mut RequestLog) -> Option<(Arc<Backend>, u64)> {
         let query = BackendQuery {
@@ -225,6 +235,7 @@
     pub(super) fn acquire_retry(&self) -> bool {
         self.sent_count < self.route.attempts_max
             && Instant::now() < self.outgoing_request.deadline
+            && !self.gateway.grace_period.has_ended()
             && self.gateway.try_retry(&self.service)
     }
 
@@ -277,7 +288,8 @@
         log: &mut RequestLog,
     ) -> NextStep {
         let sent_at_ms = self.sent_at_ms(&started.in_flight);
-        let Some((head, body)) = read_whole(started, self.outgoing_request.deadline).await else {
+        let deadline = self.outgoing_request.deadline;
+        let Some((head, body)) = read_whole(&self.gateway, started, deadline).await else {
             self.suspect_crash(backend, AnswerProgress::Head);
             let detail = "the answer broke off";
             return self.handle_lost(backend, detail, AnswerProgress::Head, log);
@@ -390,6 +402,7 @@
         log: &mut RequestLog,
         mut reservation: Option<Reservation>,
     ) -> Response<AnswerBody> {
+        self.record_duration(log);
         if let Some((head, body)) = self.answer.take() {
             log.set_first_byte();
             log.set_outcome(Reason::Delivered, head.status.as_u16());
@@ -404,6 +417,7 @@
         }
         log_spent(log, reservation.as_ref());
         let rejection = match (self.may_have_run, self.reason) {
+            (false, Reason::ShuttingDown) => Rejection::shutting_down(),
             (false, reason) => {
                 let backends = &self.gateway.backends;
                 let pause_ms = backends.shortest_pause_ms(&self.service, self.gateway.now_ms());
@@ -417,6 +431,14 @@
         rejection.into_response(log)
     }
 
+    /// Records how long the request took if a backend server may have run it.
+    pub(super) fn record_duration(&self, log: &RequestLog) {
+        if self.may_have_run {
+            let grace_period = &self.gateway.grace_period;
+            grace_period.record_request(&self.route, log.started());
+        }
+    }
+
     /// Returns an answer that forwards a stream.
     fn stream(
         mut self,
@@ -425,6 +447,7 @@
         reservation: Option<Reservation>,
     ) -> Response<AnswerBody> {
         self.sent_count += 1;
+        self.may_have_run = true;
         let configuration = self.gateway.configuration();
         let service_config = configuration
             .as_ref()
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -2,8 +2,8 @@
 
 use super::{
     admission::{
-        admit, admit_budget, admit_load, admit_parts, deadline, read_body, record_refusal,
-        request_times, reserve, token_claim,
+        admit, admit_budget, admit_in_grace_period, admit_load, admit_parts, deadline, read_body,
+        record_refusal, request_times, reserve, token_claim,
     },
     answer::AnswerBody,
     attempt::OutgoingRequest,
@@ -59,7 +59,8 @@
         );
     }
     let deadline = deadline(started, &route, &caller_request);
-    let body = read_body(body, admitted.body_max_bytes, deadline).await?;
+    let body = read_body(&gateway, body, admitted.body_max_bytes, deadline).await?;
+    admit_in_grace_period(&gateway, &route, deadline)?;
     let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
     let id = request_id(&head, &caller_request, workspace_id, &body);
     log.set_content(id);
--- a/crates/gateway/src/request/rejection.rs
+++ b/crates/gateway/src/request/rejection.rs
@@ -16,6 +16,9 @@
 /// retries are spread.
 const NO_CAPACITY_RETRY_AFTER_SHARES: Range<f64> = 0.16..0.32;
 
+/// `Retry-After` of a request that another router can serve at once, in milliseconds.
+const SHUTTING_DOWN_RETRY_AFTER_MS: u64 = 100;
+
 /// An error response that the gateway sends in place of a backend server's answer.
 #[derive(Debug)]
 pub(super) struct Rejection {
@@ -54,6 +57,15 @@
         )
     }
 
+    /// Returns a rejection of a request that might not end before this router does.
+    pub(super) fn shutting_down() -> Self {
+        Self::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            Reason::ShuttingDown,
+            SHUTTING_DOWN_RETRY_AFTER_MS,
+        )
+    }
+
     /// Returns a rejection of a request that no backend server accepted or would serve in time.
     ///
     /// `remaining` is the caller's remaining time.
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -34,6 +34,8 @@
     VersionUnknown,
     /// No backend server is available for the request.
     NoBackend,
+    /// The router shuts down and might end before the request does.
+    ShuttingDown,
     /// A backend server rejected the request without running it.
     Rejected,
     /// A backend server's answer was lost or unreadable; the request may have run.
@@ -342,6 +344,7 @@
         Reason::Quarantined => "quarantined",
         Reason::VersionUnknown => "version_unknown",
         Reason::NoBackend => "no_backend",
+        Reason::ShuttingDown => "shutting_down",
         Reason::Rejected => "rejected",
         Reason::AnswerLost => "answer_lost",
         Reason::Timeout => "timeout",
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -334,6 +334,9 @@
         if let Some(log) = &mut self.log {
             log.set_outcome(Reason::Delivered, 200);
         }
+        if let (Some(attempts), Some(log)) = (&self.attempts, &self.log) {
+            attempts.record_duration(log);
+        }
         if let Source::Open(open) = std::mem::replace(&mut self.source, Source::Ended) {
             if let Some(attempts) = &self.attempts {
                 attempts.record_completion(attempts.sent_at_ms(&open.in_flight));
