--- a/crates/gateway/tests/regression_event_lost_before_invalid_bytes.rs
+++ b/crates/gateway/tests/regression_event_lost_before_invalid_bytes.rs
@@ -56,6 +56,85 @@
     }
 }
 
+/// The number of events in a whole stream of [`spoilt_at`].
+const EVENTS: u64 = 5;
+
+/// How the end of a server's stream is marked.
+#[derive(Debug, Clone, Copy)]
+enum Framing {
+    Chunks,
+    Length,
+    Connection,
+}
+
+impl Framing {
+    fn head(self) -> String {
+        let line = match self {
+            Self::Chunks => "transfer-encoding: chunked\r\n",
+            Self::Length => "content-length: 9999\r\n",
+            Self::Connection => "",
+        };
+        format!(
+            "HTTP/1.1 200 OK\r\nx-attempt: ATTEMPT\r\nx-signature: s\r\n\
+             content-type: text/event-stream\r\n{line}\r\n"
+        )
+    }
+
+    fn part(self, text: &str) -> String {
+        match self {
+            Self::Chunks => format!("{:x}\r\n{text}\r\n", text.len()),
+            Self::Length | Self::Connection => text.to_owned(),
+        }
+    }
+}
+
+/// Returns the last event that a second server is asked to go on after, if the first one sends bytes that
+/// are no event in one part with event `number`; checks that the caller gets the whole stream.
+async fn spoilt_at(number: u64, framing: Framing) -> Option<String> {
+    let mut steps = vec![ScriptStep::Write(framing.head())];
+    for before in 1..number {
+        let text = events(before..=before);
+        steps.push(ScriptStep::Write(framing.part(&text)));
+    }
+    let spoilt = events(number..=number) + "no event\n\n";
+    steps.extend([
+        ScriptStep::Wait(400),
+        ScriptStep::Write(framing.part(&spoilt)),
+        ScriptStep::AwaitClose,
+    ]);
+    let first = ScriptedServer::start(steps).await;
+    let mut steps = vec![ScriptStep::StreamHead];
+    steps.extend((number + 1..=EVENTS).map(ScriptStep::Event));
+    steps.push(ScriptStep::StreamEnd);
+    let second = ScriptedServer::start(steps).await;
+    let test = TestGateway::start(&[first.address]).await;
+    let mut stream = test.connect().await;
+    // An event holds three tokens.
+    let headers = format!("x-tokens: 100 {}\r\n", EVENTS * 3);
+    send(&mut stream, "/resumed/", &headers).await;
+    sleep(Duration::from_millis(150)).await;
+    let address = second.address.to_string();
+    test.store.put(Topic::Backends, "b1", Some(&address));
+    let got = read_answer(stream).await;
+    assert_eq!((got.body, got.is_truncated), (events(1..=EVENTS), false));
+    let heads = second.requests.lock().unwrap();
+    header(&heads[0], "x-last").map(ToOwned::to_owned)
+}
+
+#[tokio::test]
+async fn event_is_kept_wherever_it_stands_and_however_the_stream_is_framed() {
+    for framing in [Framing::Chunks, Framing::Length, Framing::Connection] {
+        for number in [1, 2, EVENTS] {
+            let last = spoilt_at(number, framing).await;
+            assert_eq!(
+                last,
+                Some(number.to_string()),
+                "event {number}, {framing:?}"
+            );
+        }
+    }
+}
+
 /// One piece of what a backend server sends.
 #[derive(Debug, Clone)]
 enum Piece {
