--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -242,6 +242,11 @@
              requests again when its requests wait less"
         }
         "no_backend" => "no backend server could be reached",
+        "version_unknown" => {
+            "servers of several versions may have begun the stream, and its origin was not found"
+        }
+        "quarantined" => "it, or a part of its prompt, ends backend servers",
+        "shutting_down" => "its router shut down and might have ended before it",
         "rejected" => "the backend servers had no place for it",
         "answer_lost" => "a backend server broke off or answered wrongly after it was sent",
         "timeout" => "its time was up before a backend server answered",
