Sidecar: a success without framing and body is not whole

What callers would see: a 200 without a body, billed as a whole answer, when the server beside a sidecar closed its connection after a head without a length.

Why it works: the sidecar asks the same function as the gateway, which moves to the library (is_framed), whether the answer shows its own end. A success without a body of which only the closed connection says so ends as failed, and as one that ran.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -11,11 +11,10 @@
     process::Gateway,
 };
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, response};
-use http_body::Body;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use mallowpath::{FrameBody, PartId, RateLimitNotice, WorkspaceId};
+use mallowpath::{FrameBody, PartId, RateLimitNotice, WorkspaceId, is_framed};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -63,13 +62,9 @@
         self.backend_answer.kind == AnswerKind::Stream && self.head.status.is_success()
     }
 
-    /// Returns whether the end of the body shows in the answer itself, and not only in the end of its
-    /// connection, which a backend server that fails closes, too.
+    /// Returns whether the end of the body shows in the answer itself.
     pub(crate) fn is_framed(&self) -> bool {
-        let headers = &self.head.headers;
-        headers.contains_key(header::CONTENT_LENGTH)
-            || headers.contains_key(header::TRANSFER_ENCODING)
-            || self.body.is_end_stream()
+        is_framed(&self.head.headers, &self.body)
     }
 }
 
--- a/crates/mallowpath/src/backend_host/backend_client.rs
+++ b/crates/mallowpath/src/backend_host/backend_client.rs
@@ -6,7 +6,10 @@
 use crate::{
     peer::wire::{AnswerEnd, AnswerHead, Submit},
     quarantine::crash_probe::refuses_connections,
-    request::chat::{StreamEvent, Usage},
+    request::{
+        body::is_framed,
+        chat::{StreamEvent, Usage},
+    },
 };
 use bytes::Bytes;
 use futures_util::TryStreamExt;
@@ -140,10 +143,11 @@
             content_type,
         }));
         if answer.submit.model && status.is_success() {
-            answer.read_stream(response.into_body()).await
-        } else {
-            answer.read_body(response.into_body()).await
+            return answer.read_stream(response.into_body()).await;
         }
+        // A server that failed as its answer began closes the connection, too.
+        let needs_body = status.is_success() && !is_framed(response.headers(), response.body());
+        answer.read_body(response.into_body(), needs_body).await
     }
 
     fn request(&self, submit: &Submit, request_id: &str) -> Request<Full<Bytes>> {
@@ -246,13 +250,17 @@
     }
 
     /// Reads a plain body and returns an [`end_code`], empty when the answer is whole.
-    async fn read_body(&mut self, mut body: Incoming) -> &'static str {
+    ///
+    /// With `needs_body`, an answer without a body is not whole.
+    async fn read_body(&mut self, mut body: Incoming, needs_body: bool) -> &'static str {
+        let mut is_empty = true;
         while let Some(frame) = body.frame().await {
             match frame {
                 Ok(frame) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
+                    is_empty &= data.is_empty();
                     (self.emit)(AnswerPart::Data(data));
                 }
                 Err(error) => {
@@ -263,6 +271,10 @@
                 }
             }
         }
+        if needs_body && is_empty {
+            log::warn!("the backend server closed the connection in place of a body");
+            return end_code::FAILED;
+        }
         ""
     }
 
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -185,7 +185,7 @@
 pub use quarantine::part_id::PartId;
 pub use quarantine::part_quarantine::{PartCheck, PartQuarantine, RecordChange};
 pub use recent_map::RecentMap;
-pub use request::body::{BodyError, read_body};
+pub use request::body::{BodyError, is_framed, read_body};
 pub use request::chat::{ChatRequest, StreamEvent, Usage};
 pub use request::concurrency::{ConcurrencyLimit, ConcurrencySettings};
 pub use request::estimate::Estimate;
--- a/crates/mallowpath/src/request/body.rs
+++ b/crates/mallowpath/src/request/body.rs
@@ -1,6 +1,7 @@
-//! Reading of HTTP bodies of limited size.
+//! Reading of HTTP bodies of limited size, and how their end shows.
 
 use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, header};
 use http_body::Body;
 use http_body_util::BodyExt;
 use std::time::Duration;
@@ -57,6 +58,14 @@
     Ok(read.freeze())
 }
 
+/// Returns whether the end of a message's body, of which nothing was read yet, shows in the message itself,
+/// and not only in the end of its connection, which a server that fails closes, too.
+pub fn is_framed(headers: &HeaderMap, body: &impl Body) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+        || body.is_end_stream()
+}
+
 async fn discard(mut body: impl Body<Data = Bytes> + Unpin) {
     let mut remaining = DISCARD_MAX_BYTES;
     while let Some(Ok(frame)) = body.frame().await {
