Requests: what the caller gets moves out of the attempts into a module of its own

attempts.rs had grown over 500 lines and held two jobs: which server is tried next, and what the caller gets in the end. The second one is delivery.rs now. No change of behaviour.

--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -11,22 +11,18 @@
         send_attempt,
     },
     destination::Destination,
-    headers::strip_connection_headers,
-    held_events::HeldEvents,
     message_heads::CallerRequest,
-    rejection::Rejection,
     request_log::{Reason, RequestLog},
-    stream::{StreamAnswer, StreamSettings},
 };
 use crate::{
     budget::Reservation,
     placement::{Backend, BackendQuery, InFlight},
     process::Gateway,
     quarantine::{Trial, record_completion, request_parts},
-    version::{Route, RouteKind},
+    version::Route,
 };
 use bytes::Bytes;
-use http::{Response, StatusCode, header, response};
+use http::{Response, StatusCode, response};
 use mallowpath::{AnswerProgress, BackendId, BackendVersion, PartId, ServiceId};
 use std::{
     sync::Arc,
@@ -57,17 +53,17 @@
     /// The backend servers that were chosen so far, reached or not.
     tried: Vec<BackendId>,
     /// The number of attempts in which the request was sent.
-    sent_count: u32,
+    pub(super) sent_count: u32,
     /// The number of attempts in which the backend server was not reached.
     connect_failures: u32,
     /// How far an answer had come that broke off; [`AnswerProgress::Head`] if any one had come so far.
     pub(super) broke_off_at: Option<AnswerProgress>,
     /// Whether a backend server may have run the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
     /// The answer to deliver unless a later attempt gets a better one.
-    answer: Option<(response::Parts, Bytes)>,
+    pub(super) answer: Option<(response::Parts, Bytes)>,
     /// Why there is no answer so far; the reason in the error response.
-    reason: Reason,
+    pub(super) reason: Reason,
 }
 
 /// The decision after an attempt.
@@ -393,81 +389,6 @@
             NextStep::Finish
         }
     }
-
-    /// Answers the caller with the answer received or with an error response.
-    ///
-    /// The error response has no `Retry-After` if the request may have run.
-    fn finish(
-        mut self,
-        log: &mut RequestLog,
-        mut reservation: Option<Reservation>,
-    ) -> Response<AnswerBody> {
-        self.record_duration(log);
-        if let Some((head, body)) = self.answer.take() {
-            log.set_first_byte();
-            log.set_outcome(Reason::Delivered, head.status.as_u16());
-            if let Some(reservation) = &mut reservation
-                && head.status.is_success()
-            {
-                // The number of tokens in a body that is not a stream is unknown.
-                reservation.mark_all_spent();
-            }
-            log_spent(log, reservation.as_ref());
-            return whole_response(head, body);
-        }
-        log_spent(log, reservation.as_ref());
-        let rejection = match (self.may_have_run, self.reason) {
-            (false, Reason::ShuttingDown) => Rejection::shutting_down(),
-            (false, reason) => {
-                let backends = &self.gateway.backends;
-                let pause_ms = backends.shortest_pause_ms(&self.service, self.gateway.now_ms());
-                let deadline = self.outgoing_request.deadline;
-                let remaining = deadline.saturating_duration_since(Instant::now());
-                Rejection::no_capacity(reason, remaining).after_pause(pause_ms)
-            }
-            (true, Reason::Timeout) => Rejection::new(StatusCode::GATEWAY_TIMEOUT, Reason::Timeout),
-            (true, _) => Rejection::new(StatusCode::BAD_GATEWAY, Reason::AnswerLost),
-        };
-        rejection.into_response(log)
-    }
-
-    /// Records how long the request took if a backend server may have run it.
-    pub(super) fn record_duration(&self, log: &RequestLog) {
-        if self.may_have_run {
-            let grace_period = &self.gateway.grace_period;
-            grace_period.record_request(&self.route, log.started());
-        }
-    }
-
-    /// Returns an answer that forwards a stream.
-    fn stream(
-        mut self,
-        started: StartedAnswer,
-        log: RequestLog,
-        reservation: Option<Reservation>,
-    ) -> Response<AnswerBody> {
-        self.sent_count += 1;
-        self.may_have_run = true;
-        let configuration = self.gateway.configuration();
-        let service_config = configuration
-            .as_ref()
-            .and_then(|configuration| configuration.services.get(&self.service));
-        let settings = StreamSettings {
-            tokens: self.caller_request.tokens,
-            tokens_per_event: service_config
-                .map_or(0, |service_config| service_config.tokens_per_event),
-            resumable: self.route.kind == RouteKind::Streaming && self.route.resumable,
-            silence_max: Duration::from_millis(self.route.silence_max_ms),
-        };
-        if self.version.is_none() {
-            let backend = started.in_flight.backend();
-            self.version.clone_from(&backend.entry.version);
-        }
-        let head = response_head(started.head.status, started.head.headers.clone());
-        let held = HeldEvents::new(self.record_origin());
-        let stream = StreamAnswer::new(self, started, log, reservation, settings, held);
-        head.map(|()| AnswerBody::Stream(Box::new(stream)))
-    }
 }
 
 /// Returns whether callers take a status for the statement that their request has not run.
@@ -487,23 +408,3 @@
         reservation.set_spent(0);
     }
 }
-
-fn log_spent(log: &mut RequestLog, reservation: Option<&Reservation>) {
-    if let Some(reservation) = reservation {
-        log.set_spent(reservation.spent());
-    }
-}
-
-fn whole_response(head: response::Parts, body: Bytes) -> Response<AnswerBody> {
-    response_head(head.status, head.headers).map(|()| AnswerBody::whole(body))
-}
-
-/// Returns the head of an answer without hop-by-hop headers and `Content-Length`.
-fn response_head(status: StatusCode, headers: http::HeaderMap) -> Response<()> {
-    let mut response = Response::new(());
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    strip_connection_headers(response.headers_mut());
-    response.headers_mut().remove(header::CONTENT_LENGTH);
-    response
-}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod answer_owner;
 mod attempt;
 mod attempts;
+mod delivery;
 mod destination;
 mod events;
 mod forward;
