--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -335,7 +335,8 @@
 /// Reads the whole body of an answer and returns its connection to the pool.
 ///
 /// Returns `None` when the body breaks off, exceeds [`BODY_MAX_BYTES`] or is not complete at
-/// `deadline` or the end of the service, and for a success of which only the end of the connection says that it has no body.
+/// `deadline` or the end of the service, and for a success of which only the end of the connection
+/// says that it has no body.
 pub(crate) async fn read_whole(
     gateway: &Gateway,
     started: StartedAnswer,
