--- a/review/bed-2/bodies.rs
+++ b/review/bed-2/bodies.rs
@@ -122,6 +122,7 @@
         deadline_ms: 5_000,
         tokens: None,
         last_event_id: None,
+        resumes: None,
         body_bytes: BODY_BYTES,
     };
     attempt.send(router, record).status.is_some()
--- a/review/bed-2/client.rs
+++ b/review/bed-2/client.rs
@@ -27,6 +27,8 @@
     /// Tokens in, and the maximum of tokens out.
     pub tokens: Option<(u64, u64)>,
     pub last_event_id: Option<u64>,
+    /// The attempt that brought the first event of the stream that is taken up.
+    pub resumes: Option<String>,
     pub body_bytes: usize,
 }
 
@@ -120,6 +122,9 @@
         if let Some(last) = self.last_event_id {
             head += &format!("Last-Event-Id: {last}\r\n");
         }
+        if let Some(first) = &self.resumes {
+            head += &format!("Resumes: {first}\r\n");
+        }
         head + "\r\n"
     }
 }
--- a/review/bed-2/drill.rs
+++ b/review/bed-2/drill.rs
@@ -172,6 +172,7 @@
             deadline_ms: 6_000,
             tokens: Some(TOKENS),
             last_event_id: None,
+            resumes: None,
             body_bytes: 100,
         };
         let answer = attempt.send(fronts[router], record);
--- a/review/bed-2/moved.rs
+++ b/review/bed-2/moved.rs
@@ -8,13 +8,17 @@
     time::{Duration, Instant},
 };
 
-const CLIENTS: usize = 24;
+const CLIENTS: usize = 60;
 const EVENTS: u64 = 40;
 const PACE: Duration = Duration::from_millis(100);
-const DEADLINE: Duration = Duration::from_secs(15);
+const DEADLINE: Duration = Duration::from_secs(8);
+const ROUNDS: u32 = 5;
+/// The time before a round, which is longer by a step each time.
+const CALM: Duration = Duration::from_millis(3_000);
+const ROUND_STEP: Duration = Duration::from_millis(230);
 /// The time over which the clients begin their streams.
 const BEGIN_TIME: Duration = Duration::from_secs(2);
-const KILLED_AFTER: Duration = Duration::from_millis(300);
+const KILLED_AFTER: Duration = Duration::from_millis(100);
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
 fn configuration(version: u64, service: &str) -> String {
@@ -27,7 +31,7 @@
     };
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"chat\",\"host\":\"review.example\",\
-         \"path-prefix\":\"/chat/\",\"route-type\":\"streaming\",\"timeout-ms\":15000,\
+         \"path-prefix\":\"/chat/\",\"route-type\":\"streaming\",\"timeout-ms\":8000,\
          \"target-latency-ms\":500,\"priority\":2,\"service\":\"{service}\",\"max-attempts\":2,\
          \"public\":false,\"sticky\":true,\"resumable\":true,\"gap-aim-ms\":500}}],\
          \"services\":[{},{}],\
@@ -40,12 +44,24 @@
     )
 }
 
+/// The streams of all rounds.
+#[derive(Default)]
+struct Totals {
+    streams: u32,
+    take_ups: u32,
+    complete: u32,
+    joined: u32,
+    disordered: u32,
+}
+
 /// What a client has received of its stream, over all its attempts.
 #[derive(Default)]
 struct Received {
     events: Vec<(u64, String)>,
     is_complete: bool,
     take_ups: u32,
+    /// The attempt that brought the first event.
+    first_attempt: Option<String>,
 }
 
 pub fn play(trouble: &str, record_path: &str) -> Verdict {
@@ -61,21 +77,47 @@
         record.write(record_path);
         return Verdict::NotRun;
     }
-    thread::sleep(Duration::from_secs(3));
+    let mut totals = Totals::default();
+    for round in 0..ROUNDS {
+        // The routers write at intervals of a second, so that the moment of the kill matters.
+        thread::sleep(CALM + ROUND_STEP * round);
+        play_round(round, &mut fleet, trouble, &mut totals);
+    }
+    let Totals {
+        streams,
+        take_ups,
+        complete,
+        joined,
+        disordered,
+    } = totals;
+    record.tell(format!(
+        "{streams} streams in {ROUNDS} rounds, {take_ups} taken up, {complete} complete; {joined} are \
+         joined from two services of two versions, {disordered} are out of order or end too early"
+    ));
+    record.write(record_path);
+    if joined + disordered > 0 { Verdict::Broken } else { Verdict::Held }
+}
+
+/// Moves the route to the other service while clients receive streams, and kills the routers.
+fn play_round(round: u32, fleet: &mut Fleet, trouble: &str, totals: &mut Totals) {
+    let record = Arc::clone(&fleet.record);
     let fronts = [fleet.front(0), fleet.front(1)];
     let threads: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let record = Arc::clone(&record);
+            let stream = (round as usize) << 8 | number;
             thread::spawn(move || {
                 thread::sleep(BEGIN_TIME * number as u32 / CLIENTS as u32);
-                receive_stream(number, fronts, &record)
+                receive_stream(stream, fronts, &record)
             })
         })
         .collect();
-    thread::sleep(BEGIN_TIME + Duration::from_millis(200));
-    let moved = configuration(9, "chat-b");
+    thread::sleep(BEGIN_TIME);
+    let version = 9 + 2 * u64::from(round);
+    let service = if round % 2 == 0 { "chat-b" } else { "chat-a" };
+    let moved = configuration(version, service);
     fleet.store.put("keyed.op", "config", Some(&moved));
-    record.line("version 9 moves the route to chat-b, acknowledged".to_owned());
+    record.line(format!("version {version} moves the route to {service}, acknowledged"));
     if trouble != "0" {
         thread::sleep(KILLED_AFTER);
         for router in 0..2 {
@@ -86,7 +128,6 @@
             fleet.start(router);
         }
     }
-    let (mut joined, mut disordered, mut complete, mut take_ups) = (0, 0, 0, 0);
     for (number, thread) in threads.into_iter().enumerate() {
         let received = thread.join().expect("clients don't panic");
         let mut sources: Vec<&str> = received
@@ -98,22 +139,17 @@
         let numbers = received.events.iter().map(|(number, _)| *number);
         let is_ordered = numbers.eq(1..=received.events.len() as u64);
         let is_whole = received.events.len() as u64 == EVENTS;
-        take_ups += received.take_ups;
-        complete += u32::from(received.is_complete);
-        joined += u32::from(sources.len() > 1);
-        disordered += u32::from(!is_ordered || (received.is_complete && !is_whole));
+        totals.streams += 1;
+        totals.take_ups += received.take_ups;
+        totals.complete += u32::from(received.is_complete);
+        totals.joined += u32::from(sources.len() > 1);
+        totals.disordered += u32::from(!is_ordered || (received.is_complete && !is_whole));
         record.line(format!(
-            "stream {number}: {} events of {sources:?}, complete: {}",
+            "round {round}, stream {number}: {} events of {sources:?}, complete: {}",
             received.events.len(),
             received.is_complete
         ));
     }
-    record.tell(format!(
-        "{CLIENTS} streams, {take_ups} taken up, {complete} complete; {joined} are joined from two \
-         services of two versions, {disordered} are out of order or end too early"
-    ));
-    record.write(record_path);
-    if joined + disordered > 0 { Verdict::Broken } else { Verdict::Held }
 }
 
 /// Receives a stream; takes it up after the last event if its connection breaks.
@@ -132,12 +168,16 @@
             deadline_ms: left.as_millis() as u64,
             tokens: Some((500, EVENTS * STRIDE)),
             last_event_id: received.events.last().map(|(number, _)| *number),
+            resumes: received.first_attempt.clone(),
             body_bytes: 100,
         };
         let answer = attempt.send(fronts[(number + attempt_number) % 2], record);
         if answer.status == Some(200) && attempt.last_event_id.is_some() {
             received.take_ups += 1;
         }
+        if received.events.is_empty() && !answer.events.is_empty() {
+            received.first_attempt = Some(attempt.id.clone());
+        }
         received.events.extend(answer.events);
         if answer.status == Some(200) && answer.is_complete {
             received.is_complete = true;
