--- a/review/bed-2/client.rs
+++ b/review/bed-2/client.rs
@@ -14,10 +14,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const READ_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// The pieces in which a large body is written.
-const PIECE_BYTES: usize = 64 << 10;
-const PIECE_TIME: Duration = Duration::from_millis(18);
-
 /// A client attempt.
 pub struct Attempt<'a> {
     pub id: String,
@@ -70,7 +66,7 @@
         stream.set_read_timeout(Some(READ_TIMEOUT))?;
         let mut writer = stream.try_clone()?;
         writer.write_all(self.head().as_bytes())?;
-        self.write_body(&mut writer)?;
+        writer.write_all(&vec![b'x'; self.body_bytes])?;
         let mut reader = BufReader::new(stream);
         let head = read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
         answer.status = head.word(1).parse().ok();
@@ -96,20 +92,6 @@
         Ok(())
     }
 
-    /// Writes the body at the pace at which many clients together fill a link of 1,000 Mbit/s.
-    fn write_body(&self, writer: &mut TcpStream) -> io::Result<()> {
-        let mut rest = self.body_bytes;
-        while rest > 0 {
-            let piece = rest.min(PIECE_BYTES);
-            writer.write_all(&vec![b'x'; piece])?;
-            rest -= piece;
-            if rest > 0 {
-                std::thread::sleep(PIECE_TIME);
-            }
-        }
-        Ok(())
-    }
-
     fn head(&self) -> String {
         let mut head = format!(
             "POST {} HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\n\
--- a/review/bed-2/drill.rs
+++ b/review/bed-2/drill.rs
@@ -62,6 +62,9 @@
     fleet.store.put("keyed.op", "config", Some(&configuration()));
     let pace = Duration::from_millis(20);
     let engines = [0, 1].map(|index| fleet.add_engine(index, "chat", "v1", pace));
+    for engine in &engines {
+        fleet.register(engine, 1);
+    }
     let record = Arc::clone(&fleet.record);
     let store = Arc::clone(&fleet.store);
     if !fleet.start_all() {
@@ -124,7 +127,7 @@
         record.tell(format!("the store is back from a copy {age:.1} s old, in the next era"));
         store.put("keyed.op", "config", Some(&configuration()));
         for engine in &engines {
-            store.put("keyed.servers", &engine.id, Some(&engine.entry(2)));
+            fleet.register(engine, 2);
         }
     }
     thread::sleep(STARTED_AFTER);
--- a/review/bed-2/fleet.rs
+++ b/review/bed-2/fleet.rs
@@ -72,7 +72,13 @@
         }
     }
 
-    /// Starts an engine, registers it, and adds the `side` machine beside it.
+    /// Writes the entry of an engine.
+    pub fn register(&self, engine: &Engine, sequence: u64) {
+        self.store.put("keyed.servers", &engine.id, Some(&engine.entry(sequence)));
+        self.record.line(format!("{} writes its entry", engine.id));
+    }
+
+    /// Starts an engine and adds the `side` machine beside it.
     pub fn add_engine(&mut self, index: usize, service: &str, version: &str, pace: Duration) -> Engine {
         let ip = format!("{}.{}", self.network, 100 + index);
         let engine = Engine {
@@ -86,7 +92,6 @@
             record: Arc::clone(&self.record),
         };
         engine.start();
-        self.store.put("keyed.servers", &engine.id, Some(&engine.entry(1)));
         self.machines.push(Machine {
             name: format!("side-hall-{index}"),
             ip,
@@ -170,18 +175,6 @@
         child.is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
-    /// The resident memory of a process in MB.
-    pub fn memory_mb(&self, index: usize) -> f64 {
-        let Some(child) = &self.machines[index].child else {
-            return 0.0;
-        };
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kb = line.and_then(|line| line.trim().trim_end_matches(" kB").parse::<f64>().ok());
-        kb.unwrap_or(0.0) / 1_024.0
-    }
-
     pub fn front(&self, index: usize) -> SocketAddr {
         self.address(index, FRONT_PORT)
     }
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -4,7 +4,6 @@
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case couldn't run. With
 //! `TROUBLE=0` the case is played without its disruption.
 
-mod bodies;
 mod client;
 mod drill;
 mod engine;
@@ -12,6 +11,7 @@
 mod http;
 mod moved;
 mod record;
+mod restored;
 mod store;
 
 use std::process::ExitCode;
@@ -34,7 +34,7 @@
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "drill" => drill::play(&trouble, record),
         "moved" => moved::play(&trouble, record),
-        "bodies" => bodies::play(&trouble, record),
+        "restored" => restored::play(&trouble, record),
         _ => Verdict::NotRun,
     });
     match played.unwrap_or(Verdict::NotRun) {
--- a/review/bed-2/moved.rs
+++ b/review/bed-2/moved.rs
@@ -9,8 +9,8 @@
 };
 
 const CLIENTS: usize = 60;
-const EVENTS: u64 = 40;
-const PACE: Duration = Duration::from_millis(100);
+pub const EVENTS: u64 = 40;
+pub const PACE: Duration = Duration::from_millis(100);
 const DEADLINE: Duration = Duration::from_secs(8);
 const ROUNDS: u32 = 5;
 /// The time before a round, which is longer by a step each time.
@@ -21,7 +21,7 @@
 const KILLED_AFTER: Duration = Duration::from_millis(100);
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
-fn configuration(version: u64, service: &str) -> String {
+pub fn configuration(version: u64, service: &str) -> String {
     let service_entry = |name: &str| {
         format!(
             "{{\"name\":\"{name}\",\"health-path\":\"/health\",\"max-connections\":370,\
@@ -46,20 +46,44 @@
 
 /// The streams of all rounds.
 #[derive(Default)]
-struct Totals {
-    streams: u32,
-    take_ups: u32,
-    complete: u32,
-    joined: u32,
-    disordered: u32,
+pub struct Totals {
+    pub streams: u32,
+    pub take_ups: u32,
+    pub complete: u32,
+    /// Those with events of several services or versions.
+    pub joined: u32,
+    /// Those with events out of order, or complete without their last event.
+    pub disordered: u32,
+}
+
+impl Totals {
+    /// Counts a stream and describes it.
+    pub fn add(&mut self, received: &Received) -> String {
+        let source = |data: &str| data.rsplit_once('/').map_or(String::new(), |(source, _)| source.to_owned());
+        let mut sources: Vec<String> = received.events.iter().map(|(_, data)| source(data)).collect();
+        sources.dedup();
+        let numbers = received.events.iter().map(|(number, _)| *number);
+        let is_ordered = numbers.eq(1..=received.events.len() as u64);
+        let is_whole = received.events.len() as u64 == EVENTS;
+        self.streams += 1;
+        self.take_ups += received.take_ups;
+        self.complete += u32::from(received.is_complete);
+        self.joined += u32::from(sources.len() > 1);
+        self.disordered += u32::from(!is_ordered || (received.is_complete && !is_whole));
+        format!(
+            "{} events of {sources:?}, complete: {}",
+            received.events.len(),
+            received.is_complete
+        )
+    }
 }
 
 /// What a client has received of its stream, over all its attempts.
 #[derive(Default)]
-struct Received {
-    events: Vec<(u64, String)>,
-    is_complete: bool,
-    take_ups: u32,
+pub struct Received {
+    pub events: Vec<(u64, String)>,
+    pub is_complete: bool,
+    pub take_ups: u32,
     /// The attempt that brought the first event.
     first_attempt: Option<String>,
 }
@@ -69,7 +93,8 @@
     fleet.store.put("keyed.op", "config", Some(&configuration(7, "chat-a")));
     for index in 0..4 {
         let (service, version) = if index < 2 { ("chat-a", "v1") } else { ("chat-b", "v2") };
-        fleet.add_engine(index, service, version, PACE);
+        let engine = fleet.add_engine(index, service, version, PACE);
+        fleet.register(&engine, 1);
     }
     let record = Arc::clone(&fleet.record);
     if !fleet.start_all() {
@@ -130,30 +155,13 @@
     }
     for (number, thread) in threads.into_iter().enumerate() {
         let received = thread.join().expect("clients don't panic");
-        let mut sources: Vec<&str> = received
-            .events
-            .iter()
-            .map(|(_, data)| data.rsplit_once('/').map_or("", |(source, _)| source))
-            .collect();
-        sources.dedup();
-        let numbers = received.events.iter().map(|(number, _)| *number);
-        let is_ordered = numbers.eq(1..=received.events.len() as u64);
-        let is_whole = received.events.len() as u64 == EVENTS;
-        totals.streams += 1;
-        totals.take_ups += received.take_ups;
-        totals.complete += u32::from(received.is_complete);
-        totals.joined += u32::from(sources.len() > 1);
-        totals.disordered += u32::from(!is_ordered || (received.is_complete && !is_whole));
-        record.line(format!(
-            "round {round}, stream {number}: {} events of {sources:?}, complete: {}",
-            received.events.len(),
-            received.is_complete
-        ));
+        let text = totals.add(&received);
+        record.line(format!("round {round}, stream {number}: {text}"));
     }
 }
 
 /// Receives a stream; takes it up after the last event if its connection breaks.
-fn receive_stream(number: usize, fronts: [SocketAddr; 2], record: &Record) -> Received {
+pub fn receive_stream(number: usize, fronts: [SocketAddr; 2], record: &Record) -> Received {
     let until = Instant::now() + DEADLINE;
     let mut received = Received::default();
     for attempt_number in 0.. {
