--- a/review/bed-2/restored.rs
+++ b/review/bed-2/restored.rs
@@ -1,7 +1,11 @@
 //! A drill of the store during a release, in which all routers are killed.
+//!
+//! `TROUBLE=0` leaves both out, `TROUBLE=drill` the kill. With `TROUBLE=outage` the store is away for longer and
+//! comes back whole, but for the entries of the new engines, which have expired meanwhile.
 
 use crate::{
     Verdict,
+    engine::Engine,
     fleet::Fleet,
     moved::{PACE, Totals, configuration, receive_stream},
 };
@@ -12,6 +16,8 @@
 const BEGIN_TIME: Duration = Duration::from_millis(2_500);
 /// How long the store is away.
 const AWAY: Duration = Duration::from_secs(1);
+/// How long the store is away with `TROUBLE=outage`: longer than three heartbeats.
+const OUTAGE: Duration = Duration::from_millis(4_000);
 const KILLED_AFTER: Duration = Duration::from_millis(300);
 /// When engines write their entries again that the store has lost: within a heartbeat, which is 1.2 s.
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(1_200);
@@ -39,6 +45,10 @@
         fleet.register(engine, 1);
     }
     thread::sleep(Duration::from_millis(500));
+    if trouble == "outage" {
+        record.line("the store goes away".to_owned());
+        store.set_away();
+    }
     let fronts = [fleet.front(0), fleet.front(1)];
     let threads: Vec<_> = (0..CLIENTS)
         .map(|number| {
@@ -50,7 +60,9 @@
         })
         .collect();
     thread::sleep(BEGIN_TIME);
-    if trouble != "0" {
+    if trouble == "outage" {
+        play_outage(&mut fleet, &new);
+    } else if trouble != "0" {
         record.line("the store goes away".to_owned());
         store.set_away();
         thread::sleep(KILLED_AFTER);
@@ -84,3 +96,22 @@
     record.write(record_path);
     if totals.joined + totals.disordered > 0 { Verdict::Broken } else { Verdict::Held }
 }
+
+/// Kills the routers at the end of an outage in which entries have expired.
+fn play_outage(fleet: &mut Fleet, new: &[Engine]) {
+    thread::sleep(OUTAGE - BEGIN_TIME - KILLED_AFTER);
+    fleet.kill(0);
+    fleet.kill(1);
+    thread::sleep(KILLED_AFTER);
+    for engine in new {
+        fleet.store.put("keyed.servers", &engine.id, None);
+    }
+    fleet.store.come_back();
+    fleet.record.line("the store is back without the entries of the new engines".to_owned());
+    fleet.start(0);
+    fleet.start(1);
+    thread::sleep(WRITTEN_AGAIN_AFTER);
+    for engine in new {
+        fleet.register(engine, 2);
+    }
+}
--- a/review/bed-2/store.rs
+++ b/review/bed-2/store.rs
@@ -99,6 +99,12 @@
         self.changed.notify_all();
     }
 
+    /// Comes back with all that it has acknowledged.
+    pub fn come_back(&self) {
+        self.lock().is_away = false;
+        self.changed.notify_all();
+    }
+
     /// Comes back from the copy, in a new era.
     pub fn come_back_from_copy(&self) {
         let mut state = self.lock();
