--- a/crates/standins/src/plain_service.rs
+++ b/crates/standins/src/plain_service.rs
@@ -4,7 +4,7 @@
 use axum::{
     Json, Router,
     body::Bytes,
-    extract::State,
+    extract::{DefaultBodyLimit, State},
     http::{HeaderMap, Method, StatusCode, Uri},
     response::{IntoResponse, Response},
     routing::get,
@@ -69,6 +69,8 @@
     let router = Router::new()
         .route("/v1/stats", get(stats))
         .fallback(echo)
+        // Routers limit the bodies.
+        .layer(DefaultBodyLimit::disable())
         .with_state(Arc::new(service));
     server::start(listen, settings, router).await
 }
