Account for the messages between processes as they arrive

What callers saw: a router or a sidecar that is killed for its memory, by peers that announce a message of megabytes at the relay or at the listener for other processes and stop short of its end.

Cause: a message of up to 8 or 16 MiB was held for each connection, and nothing bounded their sum or the number of connections.

Change: FrameCodec charges what has arrived of a message over 16 KiB to the process's one budget for buffers and closes the connection if there is no room; the listeners have a limit of connections, of which the one that has waited longest for a call, or has not said who it is, makes room.

--- a/crates/e2e/tests/misbehaving_callers.rs
+++ b/crates/e2e/tests/misbehaving_callers.rs
@@ -172,7 +172,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "a known fault, see KNOWN-RED.txt"]
 async fn frames_that_stop_short_at_a_router() -> Result<(), BoxError> {
     let bed = Bed::start().await?;
     let sent = Sent::frame(FRAME_BYTES, FRAME_BYTES_SENT);
@@ -181,7 +180,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-#[ignore = "a known fault, see KNOWN-RED.txt"]
 async fn frames_that_stop_short_at_a_sidecar() -> Result<(), BoxError> {
     let bed = Bed::start().await?;
     let sent = Sent::frame(FRAME_BYTES, FRAME_BYTES_SENT);
--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -29,8 +29,8 @@
     version::{CallerLimits, Configuration, Route},
 };
 use mallowpath::{
-    BackendId, BackendVersion, BufferBudget, Hello, Result, ServiceId, WorkspaceId, accept_links,
-    serve_admin, serve_metrics,
+    BackendId, BackendVersion, BufferBudget, Hello, LinkLimits, Result, ServiceId, WorkspaceId,
+    accept_links, serve_admin, serve_metrics,
 };
 use std::{
     collections::HashMap,
@@ -169,7 +169,9 @@
                 ),
             }
         }
-        tokio::spawn(serve_relay(relay, Arc::clone(&gateway.transport)));
+        let link_limits = LinkLimits::new("relay", &limits, &gateway.buffers);
+        let transport = Arc::clone(&gateway.transport);
+        tokio::spawn(serve_relay(relay, transport, link_limits));
         start_tasks(&TaskInputs {
             gateway: Arc::clone(&gateway),
             store,
@@ -477,7 +479,8 @@
     let endpoint = endpoint(gateway.hello.clone(), settings, move |body, responder| {
         handle_peer_message(&handler, body, responder);
     });
-    tokio::spawn(accept_links(listener, endpoint, |_| async {}));
+    let limits = LinkLimits::new("peers", &gateway.settings.limits, &gateway.buffers);
+    tokio::spawn(accept_links(listener, endpoint, limits, |_| async {}));
 }
 
 async fn run_draw_tasks(gateway: Arc<Gateway>) {
--- a/crates/gateway/src/process/relay.rs
+++ b/crates/gateway/src/process/relay.rs
@@ -4,10 +4,12 @@
 //! messages.
 
 use super::store_transport::StoreTransport;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use mallowpath::{Category, Error, HttpAnswer, HttpCall, Result};
+use mallowpath::{
+    Category, ConnectionSlot, Error, FrameCodec, HttpAnswer, HttpCall, LinkLimits, Result,
+};
 use prost::Message;
 use std::{
     collections::HashMap,
@@ -20,7 +22,7 @@
     net::{TcpListener, TcpStream},
     time::{sleep, timeout},
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
 const STEP: &str = "call the store through a relay";
 
@@ -77,7 +79,7 @@
     value: Bytes,
 }
 
-type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+type Connection = Framed<TcpStream, FrameCodec>;
 
 /// A client that makes calls through relays and reuses connections.
 #[derive(Debug, Default)]
@@ -192,42 +194,53 @@
         Err(_) => return Err(refused(io::ErrorKind::TimedOut.into())),
     };
     stream.set_nodelay(true).map_err(refused)?;
-    Ok(framed(stream))
-}
-
-fn framed(stream: TcpStream) -> Connection {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_MAX_BYTES)
-        .new_framed(stream)
+    Ok(Framed::new(stream, FrameCodec::new(FRAME_MAX_BYTES)))
 }
 
 /// Accepts connections of other processes on `listener` and relays their calls; never returns.
-pub(crate) async fn serve_relay(listener: TcpListener, transport: Arc<StoreTransport>) {
+pub(crate) async fn serve_relay(
+    listener: TcpListener,
+    transport: Arc<StoreTransport>,
+    limits: LinkLimits,
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, Arc::clone(&transport)));
-            }
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!(target: "relay", "can't accept a connection: {error}");
                 sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)).await;
+                continue;
             }
-        }
+        };
+        let Some(slot) = limits.connections.admit().await else {
+            continue;
+        };
+        let codec = FrameCodec::new(FRAME_MAX_BYTES).within(&limits.buffers, peer.ip());
+        let transport = Arc::clone(&transport);
+        tokio::spawn(async move {
+            serve_connection(stream, codec, &slot, transport).await;
+            drop(slot);
+        });
     }
 }
 
-async fn serve_connection(stream: TcpStream, transport: Arc<StoreTransport>) {
+async fn serve_connection(
+    stream: TcpStream,
+    codec: FrameCodec,
+    slot: &Arc<ConnectionSlot>,
+    transport: Arc<StoreTransport>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "relay", "can't set up a connection, closing it: {error}");
         return;
     }
-    let mut connection = framed(stream);
-    let idle_timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
-    while let Ok(Some(Ok(frame))) = timeout(idle_timeout, connection.next()).await {
+    let mut connection = Framed::new(stream, codec);
+    while let Some(frame) = next_frame(&mut connection, slot).await {
         let Ok(call) = RelayCall::decode(frame) else {
             log::warn!(target: "relay", "can't decode a call, closing the connection");
             return;
         };
+        let _busy = slot.busy();
         let answer = relay_call(&transport, call).await;
         if let Err(error) = connection.send(Bytes::from(answer.encode_to_vec())).await {
             log::debug!(target: "relay", "can't send an answer, closing the connection: {error}");
@@ -236,6 +249,23 @@
     }
 }
 
+/// Returns the next message of a connection; `None` once it has ended, was idle for too long or has to be
+/// closed for another one.
+async fn next_frame(connection: &mut Connection, slot: &ConnectionSlot) -> Option<BytesMut> {
+    let idle_timeout = Duration::from_millis(IDLE_TIMEOUT_MS);
+    let next = tokio::select! {
+        next = timeout(idle_timeout, connection.next()) => next.ok()??,
+        () = slot.replaced() => return None,
+    };
+    match next {
+        Ok(frame) => Some(frame),
+        Err(error) => {
+            log::debug!(target: "relay", "can't read a call, closing the connection: {error}");
+            None
+        }
+    }
+}
+
 async fn relay_call(transport: &StoreTransport, call: RelayCall) -> RelayAnswer {
     let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
         return RelayAnswer::default();
--- a/crates/gateway/src/process/sidecar.rs
+++ b/crates/gateway/src/process/sidecar.rs
@@ -1,7 +1,7 @@
 //! The process beside a backend server.
 
 use super::{relay::serve_relay, settings::SidecarSettings, store_transport::StoreTransport};
-use mallowpath::{Category, Error, Result};
+use mallowpath::{BufferBudget, Category, Error, LinkLimits, Result};
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
@@ -13,7 +13,9 @@
 pub async fn run_relay(settings: SidecarSettings, transport: Arc<StoreTransport>) -> Result<()> {
     let listener = listen(settings.relay).await?;
     log::info!(target: "process", "sidecar on {} started", settings.host);
-    serve_relay(listener, transport).await;
+    let buffers = BufferBudget::new(settings.limits.buffer_max_bytes());
+    let limits = LinkLimits::new("relay", &settings.limits, &buffers);
+    serve_relay(listener, transport, limits).await;
     Ok(())
 }
 
--- a/crates/mallowpath/src/backend_host/sidecar.rs
+++ b/crates/mallowpath/src/backend_host/sidecar.rs
@@ -17,8 +17,9 @@
     id::{Incarnation, RequestId, Version},
     membership::members::Join,
     membership::peer_connections::PeerConnections,
+    memory::buffer_budget::BufferBudget,
     peer::link::{Endpoint, Link, now_ms},
-    peer::link_tasks::accept_links,
+    peer::link_tasks::{LinkLimits, accept_links},
     peer::wire::{AnswerEnd, AnswerHead, Heartbeat, Hello, Load},
     process::admin::{AdminHooks, bind, serve_admin},
     process::in_flight::InFlightCounter,
@@ -154,6 +155,8 @@
         });
         let limits = &sidecar.settings.host.limits;
         serve_admin(admin, sidecar.hooks(), limits);
+        let buffers = BufferBudget::new(limits.buffer_max_bytes());
+        let link_limits = LinkLimits::new("peers", limits, &buffers);
         let endpoint = sidecar.endpoint(address, admin_address);
         tokio::spawn(Arc::clone(&sidecar).follow_host_list());
         let accepting = Arc::clone(&sidecar);
@@ -161,7 +164,7 @@
             let sidecar = Arc::clone(&accepting);
             async move { sidecar.watch_router(link).await }
         };
-        tokio::spawn(accept_links(listener, endpoint, on_accept));
+        tokio::spawn(accept_links(listener, endpoint, link_limits, on_accept));
         tokio::spawn(Arc::clone(&sidecar).join(address));
         tokio::spawn(Arc::clone(&sidecar).expire_runs());
         tokio::spawn(poll_load(Arc::clone(&sidecar)));
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -169,7 +169,7 @@
 pub use memory::write_timeout::WriteTimeout;
 pub use peer::dialer::Dialer;
 pub use peer::link::{Call, Endpoint, Link, LinkSettings, Responder};
-pub use peer::link_tasks::accept_links;
+pub use peer::link_tasks::{LinkLimits, accept_links};
 pub use peer::silence_detector::{SilenceDetector, SilenceSettings};
 pub use peer::wire::{Done, FrameBody, Heartbeat, Hello};
 pub use peer::wire_backend::{
--- a/crates/mallowpath/src/peer/link.rs
+++ b/crates/mallowpath/src/peer/link.rs
@@ -8,7 +8,10 @@
 use crate::{
     error::{Category, Error, Result},
     id::Incarnation,
-    peer::link_tasks::{exchange_hello, read_frames, send_heartbeats, write_frames},
+    memory::frame_codec::FrameCodec,
+    peer::link_tasks::{
+        FRAME_MAX_BYTES, exchange_hello, read_frames, send_heartbeats, write_frames,
+    },
     peer::wire::{Cancel, Frame, FrameBody, Heartbeat, Hello},
 };
 use futures_util::StreamExt;
@@ -114,7 +117,8 @@
             Ok(Err(error)) => return Err(connect_error(remote, &error.to_string())),
             Err(_) => return Err(connect_error(remote, "no connection in time")),
         };
-        Self::establish(stream, remote, endpoint, 1).await
+        let codec = FrameCodec::new(FRAME_MAX_BYTES);
+        Self::establish(stream, remote, endpoint, codec, 1).await
     }
 
     /// Sets up a connection that a peer opened and exchanges hello messages.
@@ -127,17 +131,19 @@
         stream: TcpStream,
         remote: SocketAddr,
         endpoint: &Endpoint,
+        codec: FrameCodec,
     ) -> Result<Arc<Self>> {
-        Self::establish(stream, remote, endpoint, 2).await
+        Self::establish(stream, remote, endpoint, codec, 2).await
     }
 
     async fn establish(
         stream: TcpStream,
         remote: SocketAddr,
         endpoint: &Endpoint,
+        codec: FrameCodec,
         first_call_id: u64,
     ) -> Result<Arc<Self>> {
-        let (peer, framed) = exchange_hello(stream, remote, endpoint).await?;
+        let (peer, framed) = exchange_hello(stream, remote, endpoint, codec).await?;
         let (outgoing, queue) = mpsc::channel(OUTGOING_QUEUE_FRAMES);
         let link = Arc::new(Self {
             peer,
--- a/crates/mallowpath/src/peer/link_tasks.rs
+++ b/crates/mallowpath/src/peer/link_tasks.rs
@@ -2,6 +2,10 @@
 
 use crate::{
     error::Result,
+    memory::{
+        buffer_budget::BufferBudget, connection_limiter::ConnectionLimiter,
+        frame_codec::FrameCodec, host_limits::HostLimits,
+    },
     peer::link::{Endpoint, Link, connect_error},
     peer::wire::{Frame, FrameBody, Heartbeat, Hello},
     process::clock::now_ms,
@@ -18,13 +22,14 @@
     sync::mpsc,
     time::{MissedTickBehavior, interval, timeout},
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
-const MAX_FRAME_BYTES: usize = 16 << 20;
+/// The maximum size of a message.
+pub(crate) const FRAME_MAX_BYTES: usize = 16 << 20;
 /// Delay before the next connection is accepted after a failure.
 const ACCEPT_RETRY_MS: u64 = 200;
 
-type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
+type FramedStream = Framed<TcpStream, FrameCodec>;
 type Sink = SplitSink<FramedStream, Bytes>;
 type Source = SplitStream<FramedStream>;
 
@@ -33,13 +38,11 @@
     stream: TcpStream,
     remote: SocketAddr,
     endpoint: &Endpoint,
+    codec: FrameCodec,
 ) -> Result<(Hello, FramedStream)> {
     if let Err(error) = stream.set_nodelay(true) {
         return Err(connect_error(remote, &error.to_string()));
     }
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec();
     let mut framed = Framed::new(stream, codec);
     let hello = Frame {
         call: 0,
@@ -67,10 +70,31 @@
     }
 }
 
+/// The limits of a listener for other processes.
+#[derive(Debug, Clone)]
+pub struct LinkLimits {
+    /// The number of connections.
+    pub connections: Arc<ConnectionLimiter>,
+    /// The memory for messages.
+    pub buffers: Arc<BufferBudget>,
+}
+
+impl LinkLimits {
+    /// Creates the limits of a listener, which metrics name `listener`, of a process that has `limits` and
+    /// `buffers`.
+    pub fn new(listener: &'static str, limits: &HostLimits, buffers: &Arc<BufferBudget>) -> Self {
+        Self {
+            connections: ConnectionLimiter::new(listener, limits.peers_max()),
+            buffers: Arc::clone(buffers),
+        }
+    }
+}
+
 /// Accepts connections until the process ends and runs `watch` with each of them.
 pub async fn accept_links<F>(
     listener: TcpListener,
     endpoint: Endpoint,
+    limits: LinkLimits,
     watch: impl Fn(Arc<Link>) -> F + Clone + Send + 'static,
 ) where
     F: Future<Output = ()> + Send + 'static,
@@ -84,12 +108,26 @@
                 continue;
             }
         };
+        let Some(slot) = limits.connections.admit().await else {
+            continue;
+        };
+        let codec = FrameCodec::new(FRAME_MAX_BYTES).within(&limits.buffers, remote.ip());
         let (endpoint, watch) = (endpoint.clone(), watch.clone());
         tokio::spawn(async move {
-            match Link::accept(stream, remote, &endpoint).await {
-                Ok(link) => watch(link).await,
-                Err(error) => log::debug!("{error}; dropping the accepted connection"),
-            }
+            let accepted = tokio::select! {
+                accepted = Link::accept(stream, remote, &endpoint, codec) => accepted,
+                () = slot.replaced() => return,
+            };
+            let link = match accepted {
+                Ok(link) => link,
+                Err(error) => {
+                    log::debug!("{error}; dropping the accepted connection");
+                    return;
+                }
+            };
+            let _busy = slot.busy();
+            watch(Arc::clone(&link)).await;
+            link.closed().await;
         });
     }
 }
--- a/crates/mallowpath/src/process/router.rs
+++ b/crates/mallowpath/src/process/router.rs
@@ -18,7 +18,7 @@
     membership::reclaim_registry::ReclaimRegistry,
     memory::{buffer_budget::BufferBudget, connection_limiter::ConnectionLimiter},
     peer::dialer::Dialer,
-    peer::link_tasks::accept_links,
+    peer::link_tasks::{LinkLimits, accept_links},
     process::admin::{AdminHooks, bind, serve_admin},
     process::http_listener::{HttpLimits, serve_listener},
     process::in_flight::InFlightCounter,
@@ -192,6 +192,7 @@
         tokio::spawn(accept_links(
             peers,
             self.dialer.endpoint().clone(),
+            LinkLimits::new("peers", limits, &self.buffers),
             on_accept,
         ));
         tokio::spawn(Arc::clone(self).follow_host_list());
--- a/crates/mallowpath/tests/regression_oneway_answer.rs
+++ b/crates/mallowpath/tests/regression_oneway_answer.rs
@@ -2,8 +2,8 @@
 //! process did not serve the answer either and answered that, and so on without end.
 
 use mallowpath::{
-    Endpoint, FrameBody, Heartbeat, Hello, Link, LinkSettings, ReserveReply, SettleTokens,
-    accept_links,
+    BufferBudget, Endpoint, FrameBody, Heartbeat, Hello, HostLimits, Link, LinkLimits,
+    LinkSettings, ReserveReply, SettleTokens, accept_links,
 };
 use std::{
     sync::{
@@ -38,7 +38,15 @@
     let endpoint = answering_endpoint(&received);
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    tokio::spawn(accept_links(listener, endpoint.clone(), |_| async {}));
+    let host_limits = HostLimits::default();
+    let buffers = BufferBudget::new(host_limits.buffer_max_bytes());
+    let limits = LinkLimits::new("peers", &host_limits, &buffers);
+    tokio::spawn(accept_links(
+        listener,
+        endpoint.clone(),
+        limits,
+        |_| async {},
+    ));
     let link = Link::dial(address, &endpoint).await.unwrap();
     let message = FrameBody::SettleTokens(SettleTokens::default());
     link.send_oneway(message).await;
