Summarize the samples of histograms also if nobody reads the metrics

Cause: the recorder keeps each sample, 20 bytes a request, until /metrics is asked for.

Change: a task adds them to their summaries each second.

--- a/crates/mallowpath/src/process/admin.rs
+++ b/crates/mallowpath/src/process/admin.rs
@@ -25,10 +25,14 @@
     fmt,
     net::SocketAddr,
     sync::{Arc, OnceLock},
+    time::Duration,
 };
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// Time between two additions of samples to the summaries of histograms.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The functions of a process that the admin listener calls.
 #[derive(Clone)]
 pub struct AdminHooks {
@@ -122,10 +126,19 @@
         if metrics::set_global_recorder(recorder).is_err() {
             log::warn!("another metrics recorder is installed already, /metrics stays empty");
         }
+        tokio::spawn(summarize_samples(handle.clone()));
         handle
     })
 }
 
+/// Adds the samples of histograms to their summaries from time to time, also if nobody reads the metrics.
+async fn summarize_samples(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(SUMMARY_INTERVAL).await;
+        handle.run_upkeep();
+    }
+}
+
 async fn ready(State(hooks): State<AdminHooks>) -> (StatusCode, &'static str) {
     if (hooks.ready)() {
         (StatusCode::OK, "ready\n")
