Let connections whose bodies stop short make room for others

What callers saw: none of their connections was accepted while others held all of them with short bodies that stopped short, up to the timeout of their route.

Cause: a connection counted as one that carries a request from the end of its head on, and such a one is never closed for another.

Change: a connection waits for its peer until the body is whole; the wait starts again with each head. The admin listeners also leave idle connections open for a minute, as a scrape each 5 s would have met their end.

--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -23,7 +23,8 @@
 };
 use http::{Response, StatusCode};
 use mallowpath::{
-    AnswerProgress, BackendId, BackendVersion, Buffer, ConnectionSlot, PartId, ServiceId,
+    AnswerProgress, BackendId, BackendVersion, Buffer, BusyConnection, ConnectionSlot, PartId,
+    ServiceId,
 };
 use std::{
     sync::Arc,
@@ -71,11 +72,22 @@
 /// The memory of a request, and the connection whose caller gets the answer.
 #[derive(Debug)]
 pub(super) struct RequestMemory {
-    pub(super) buffer: Buffer,
-    pub(super) connection: Arc<ConnectionSlot>,
+    buffer: Buffer,
+    connection: Arc<ConnectionSlot>,
+    /// Keeps the connection from being closed for another one.
+    _busy: BusyConnection,
 }
 
 impl RequestMemory {
+    /// Creates the memory of a request that has arrived whole.
+    pub(super) fn new(buffer: Buffer, connection: Arc<ConnectionSlot>) -> Self {
+        Self {
+            buffer,
+            _busy: connection.busy(),
+            connection,
+        }
+    }
+
     /// Opens an empty buffer for the answer.
     fn open_answer(&self) -> Buffer {
         self.buffer.open_answer(&self.connection)
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -72,6 +72,7 @@
     let buffer = gateway.buffers.open(caller, BufferKind::Arriving);
     let body_max_bytes = admitted.body_max_bytes;
     let body = read_body(&gateway, body, body_max_bytes, deadline, &buffer).await?;
+    let memory = RequestMemory::new(buffer, slot);
     admit_in_grace_period(&gateway, &route, deadline)?;
     let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
     let id = request_id(&head, &caller_request, workspace_id, &body);
@@ -131,10 +132,7 @@
         caller_request,
         outgoing_request,
         trial,
-        RequestMemory {
-            buffer,
-            connection: slot,
-        },
+        memory,
     );
     Ok((attempts, reservation))
 }
--- a/crates/mallowpath/src/memory/connection_limiter.rs
+++ b/crates/mallowpath/src/memory/connection_limiter.rs
@@ -157,7 +157,13 @@
 }
 
 impl ConnectionSlot {
-    /// Marks the connection as one that carries a request or an answer.
+    /// Starts the wait for the peer again, as a request has begun.
+    pub(crate) fn restart_wait(&self) {
+        let now_ms = self.limiter.now_ms();
+        self.limiter.lock().table.restart_wait(self.id, now_ms);
+    }
+
+    /// Marks the connection as one that carries a whole request or an answer.
     pub fn busy(self: &Arc<Self>) -> BusyConnection {
         let marks = self.busy.fetch_add(1, Ordering::Relaxed);
         if marks == 0 && self.limiter.lock().table.set_busy(self.id) {
@@ -166,7 +172,7 @@
         BusyConnection(Arc::clone(self))
     }
 
-    /// Returns whether the connection carries a request or an answer.
+    /// Returns whether the connection carries a whole request or an answer.
     pub fn is_busy(&self) -> bool {
         self.busy.load(Ordering::Relaxed) > 0
     }
--- a/crates/mallowpath/src/memory/connection_table.rs
+++ b/crates/mallowpath/src/memory/connection_table.rs
@@ -1,8 +1,8 @@
 //! Decides which connections of a listener stay open.
 //!
-//! The load that it answers: peers that open connections and send nothing, or a head that never ends. At
-//! the limit, the connection that has waited longest for its peer is closed for a new one. One that
-//! carries a request is never closed for another.
+//! The load that it answers: peers that open connections and send nothing, or a head or a body that never
+//! ends. At the limit, the connection that has waited longest for its peer is closed for a new one. One that
+//! carries a whole request or an answer is never closed for another.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -17,7 +17,7 @@
     Admitted(ConnectionId),
     /// It stays open once another one, which is named unless that was done before, is closed.
     AfterClosing(Option<ConnectionId>),
-    /// It is closed: all others carry requests.
+    /// It is closed: all others carry whole requests or answers.
     Refused,
 }
 
@@ -37,7 +37,7 @@
 enum ConnectionState {
     /// It has waited for its peer since this time in milliseconds.
     Waiting(u64),
-    /// It carries a request.
+    /// It carries a whole request or an answer.
     Busy,
     /// It is being closed for another one.
     Closing,
@@ -86,7 +86,7 @@
         ConnectionAdmission::AfterClosing(Some(id))
     }
 
-    /// Records that a connection carries a request; returns whether it was being closed for another one.
+    /// Records that a connection carries a whole request or an answer; returns whether it was being closed for another one.
     ///
     /// If so, another connection may be closed in its place.
     pub fn set_busy(&mut self, id: ConnectionId) -> bool {
@@ -95,6 +95,14 @@
         was_closing
     }
 
+    /// Records that a connection that waits for its peer does so from `now_ms` on.
+    pub fn restart_wait(&mut self, id: ConnectionId, now_ms: u64) {
+        let state = self.connections.get(&id);
+        if matches!(state, Some(ConnectionState::Waiting(_))) {
+            self.set_waiting(id, now_ms);
+        }
+    }
+
     /// Records that a connection waits for its peer from `now_ms` on.
     pub fn set_waiting(&mut self, id: ConnectionId, now_ms: u64) {
         self.set_state(id, ConnectionState::Waiting(now_ms));
--- a/crates/mallowpath/src/process/http_listener.rs
+++ b/crates/mallowpath/src/process/http_listener.rs
@@ -58,7 +58,7 @@
     fn default() -> Self {
         Self {
             header_max_bytes: 16 << 10,
-            header_timeout_ms: 5_000,
+            header_timeout_ms: 60_000,
             write_timeout_ms: 15_000,
         }
     }
@@ -67,7 +67,8 @@
 /// Serves a connection until it ends, it is closed for the memory or for another one, or `closing` completes, after which
 /// the answer in progress is the last one.
 ///
-/// The requests have the connection's [`ConnectionSlot`] as an extension.
+/// The requests have the connection's [`ConnectionSlot`] as an extension. While a service reads a body, the
+/// connection still waits for its peer; a service has to mark it as busy after that.
 ///
 /// # Errors
 ///
@@ -87,12 +88,13 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let service = service_fn(|mut request: Request<Incoming>| {
-        let busy = slot.busy();
+        slot.restart_wait();
         request.extensions_mut().insert(Arc::clone(slot));
         // hyper reserves the size of the future for each connection, also while it waits for a request.
         let answer = Box::pin(service.call(request));
         async move {
             let answer = answer.await?;
+            let busy = slot.busy();
             Ok::<_, S::Error>(answer.map(|body| BusyBody::new(body, busy)))
         }
     });
--- a/crates/mallowpath/src/request/http_api.rs
+++ b/crates/mallowpath/src/request/http_api.rs
@@ -96,6 +96,7 @@
         Ok(started) => started,
         Err(refusal) => return refuse(&router, &refusal),
     };
+    let _busy = connection.busy();
     let mut response = if started.is_stream {
         event_stream(started.id, started.response_parts, started.answer).await
     } else {
@@ -212,7 +213,10 @@
     request: Request,
 ) -> Response<Body> {
     match start_plain(&router, &connection, &service, &path, request).await {
-        Ok((id, response_parts, answer)) => plain_response(id, response_parts, answer).await,
+        Ok((id, response_parts, answer)) => {
+            let _busy = connection.busy();
+            plain_response(id, response_parts, answer).await
+        }
         Err(refusal) => refuse(&router, &refusal),
     }
 }
--- a/crates/mallowpath/tests/memory.rs
+++ b/crates/mallowpath/tests/memory.rs
@@ -215,6 +215,7 @@
     assert_eq!(table.admit(3), ConnectionAdmission::AfterClosing(None));
     // A request came just before the connection was closed for another one.
     assert!(table.set_busy(second));
+    table.restart_wait(second, 4);
     assert_eq!(table.admit(4), ConnectionAdmission::Refused);
     table.set_waiting(first, 5);
     assert_eq!(
