Keep a message that becomes whole as it is chosen to make room

Suspected, not seen: on several threads a message can become whole between the choice and its notice. It then stayed marked, and others waited for its memory until its request had ended. It is unmarked now, and those that wait decide again. tests/memory.rs has the case.

--- a/crates/mallowpath/src/memory/buffer_budget.rs
+++ b/crates/mallowpath/src/memory/buffer_budget.rs
@@ -178,6 +178,9 @@
         let mut state = self.budget.lock();
         state.table.set_kind(self.id, BufferKind::Whole, now_ms);
         state.evictions.remove(&self.id);
+        drop(state);
+        // Others may wait for the room that this one was to make.
+        self.budget.released.notify_waiters();
     }
 
     /// Records that the caller may read the answer, which makes room if the caller does not.
--- a/crates/mallowpath/src/memory/buffer_table.rs
+++ b/crates/mallowpath/src/memory/buffer_table.rs
@@ -145,10 +145,11 @@
         }
     }
 
-    /// Changes what a buffer holds, which counts as progress.
+    /// Changes what a buffer holds, which counts as progress; it need not make room any longer.
     pub fn set_kind(&mut self, id: BufferId, kind: BufferKind, now_ms: u64) {
         if let Some(buffer) = self.buffers.get_mut(&id) {
             buffer.kind = kind;
+            buffer.is_evicted = false;
             buffer.moved_bytes = 0;
             buffer.progress_at_ms = now_ms;
         }
--- a/crates/mallowpath/tests/memory.rs
+++ b/crates/mallowpath/tests/memory.rs
@@ -135,6 +135,9 @@
     table.record_progress(arriving, 1, 2 * STALLED_MS - 1);
     let evicted = table.grow(new, MIB, 2 * STALLED_MS);
     assert_eq!(evicted, Growth::AfterEviction(vec![arriving]));
+    // It became whole just before it was given up.
+    table.set_kind(arriving, BufferKind::Whole, 2 * STALLED_MS);
+    assert_eq!(table.grow(new, MIB, 9 * STALLED_MS), Growth::Refused);
 }
 
 #[test]
