Account for the parts of an answer that wait for a slow caller

What callers saw: 12 callers that ask a router of the library for a long stream each and read nothing take it to 464 MiB where it may have 64; a host of that size ends it, and with it the answers of everybody else.

Cause: the answers of a sidecar share one connection, which has to be read on while one of their callers is slow. The queue of each call has no bound, each part in it kept the whole piece of memory in which it had been read, and the buffer that had been opened for the answer was dropped where a stream began. A call whose caller had left kept its queue until the run was stopped at the sidecar. The text of an answer that is collected for one JSON object was not counted either.

Change: memory/unread_answer.rs counts what waits, from its receipt until it is passed on; 8 KiB belong to the connection. When the memory for answers is used up, the largest answer whose caller has read less than 16 KiB for 0.2 s makes room, or the connection of the one that grows is closed (BufferTable, no I/O).

Not bounded by it: the answers that a sidecar keeps of the requests that run there, for routers that attach again, and the bodies of these (docs/design/caller-memory.md).

--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -48,6 +48,10 @@
     pub timing: PeerTiming,
     /// How long a draining router still accepts connections.
     pub drain_notice_ms: u64,
+    /// The memory of each router, in MiB.
+    pub router_memory_mb: u64,
+    /// The most output tokens of a request.
+    pub max_output_tokens: u64,
 }
 
 /// A router that runs as a separate process.
@@ -209,7 +213,8 @@
         file.set("host_list", hosts.address)
             .set("callers_listen", "127.0.0.1:0")
             .set("bill_batch_ms", BILL_BATCH_MS)
-            .set("drain_notice_ms", self.settings.drain_notice_ms);
+            .set("drain_notice_ms", self.settings.drain_notice_ms)
+            .set("memory_mb", self.settings.router_memory_mb);
         let path = file.write(&self.folder, &name)?;
         let arguments = ["--settings", path.to_str().unwrap_or_default()];
         let process = Process::spawn(&name, Program::Router, &arguments)?;
@@ -376,6 +381,8 @@
                 ..PeerTiming::default()
             },
             drain_notice_ms: 200,
+            router_memory_mb: 256,
+            max_output_tokens: 4_096,
         }
     }
 }
--- a/crates/e2e/src/crowd.rs
+++ b/crates/e2e/src/crowd.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Returns a whole request with `body`; `head` has no empty line at its end.
+    pub fn request(head: &str, body: &str) -> Self {
+        Self {
+            start: format!("{head}content-length: {}\r\n\r\n{body}", body.len()).into_bytes(),
+            ..Self::default()
+        }
+    }
+
     /// Returns a body of which `bytes` are sent in chunks of `chunk_bytes`, without the last chunk.
     pub fn chunked(head: &str, bytes: usize, chunk_bytes: usize) -> Self {
         // Small chunks are written together, since a write for each would take longer than the test.
--- a/crates/e2e/src/operator.rs
+++ b/crates/e2e/src/operator.rs
@@ -33,12 +33,14 @@
         extra_sections: &str,
         author: &str,
     ) -> Result<PublishOutcome, BoxError> {
+        let max_output_tokens = self.settings.max_output_tokens;
         let mut text = format!(
             "[workspace demo]\n\
              key_sha256 = c48a01f49fd0f2cc404bc3cbbc80e91457a3d41bb429a695243de4c61794155c\n\
              budget = {BUDGET}\nservices = *\nhome_region = {REGION}\n\
              [budget {BUDGET}]\nworkspace = demo\ntokens = {budget}\n\
-             [service {MODEL}]\nkind = model\nmax_output_tokens = 4096\ntimeout_ms = 20000\n"
+             [service {MODEL}]\nkind = model\nmax_output_tokens = {max_output_tokens}\n\
+             timeout_ms = 20000\n"
         );
         for (service, _) in &self.settings.services {
             let header = format!("[service {service}]\n");
--- a/crates/e2e/tests/misbehaving_callers.rs
+++ b/crates/e2e/tests/misbehaving_callers.rs
@@ -3,12 +3,18 @@
 //!
 //! The tests run one at a time, and check nothing that depends on the speed of the host.
 
+use mallowpath::Tokens;
 use mallowpath_e2e::{
-    BoxError, Cluster, ClusterSettings, Crowd, Sent, call_until_served, peak_memory_kib,
+    BoxError, Cluster, ClusterSettings, Crowd, Sent, call_until_served, dump, peak_memory_kib,
     wait_until_steady,
 };
-use std::net::SocketAddr;
-use tokio::sync::{Mutex, MutexGuard};
+use mallowpath_standins::simulated_engine;
+use serde_json::json;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    sync::{Mutex, MutexGuard},
+    time::{sleep, timeout},
+};
 
 /// Memory that a process may have by default, in MiB.
 const MEMORY_MB: u64 = 256;
@@ -22,6 +28,15 @@
 /// Of these callers, those that send a body at the same time.
 const CALLERS_AT_A_TIME: usize = 2;
 
+/// Callers that each ask for a stream of [`STREAM_TOKENS`] and read nothing; a router of
+/// [`STREAM_MEMORY_MB`] would hold twice that if it kept what they don't read.
+const STREAM_CALLERS: usize = 12;
+const STREAM_TOKENS: u64 = 100_000;
+const STREAM_MEMORY_MB: u64 = 64;
+
+/// More than the timeout of a request.
+const RUNNING_LIMIT_MS: u64 = 40_000;
+
 /// Callers that send heads of requests of [`HEAD_BYTES`].
 const HEAD_CALLERS: usize = 700;
 const HEAD_BYTES: usize = 400_000;
@@ -202,6 +217,72 @@
     bed.check_use()
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_nobody_reads() -> Result<(), BoxError> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let engine = simulated_engine::Settings {
+        decode_ms: 0.0,
+        decode_per_running_us: 0,
+        max_running: STREAM_CALLERS + 1,
+        kv_total_tokens: u64::MAX >> 1,
+        ..simulated_engine::Settings::default()
+    };
+    let cluster = Cluster::start(ClusterSettings {
+        routers: 1,
+        engines: vec![engine],
+        budget: Tokens(1_000_000_000),
+        router_memory_mb: STREAM_MEMORY_MB,
+        max_output_tokens: STREAM_TOKENS,
+        ..ClusterSettings::default()
+    })
+    .await?;
+    let router = &cluster.routers[0];
+    let (id, callers) = (router.process.id(), router.callers);
+    let (name, key) = KEY;
+    let path = "POST /v1/chat/completions";
+    let head = format!("{path} HTTP/1.1\r\nhost: h\r\n{name}: {key}\r\n");
+    let long = Sent::request(&head, &stream_request(STREAM_TOKENS));
+    let crowd = Crowd::start(callers, STREAM_CALLERS, &long);
+    crowd.wait_until_sent().await;
+    let sidecar = cluster.sidecars[0].admin;
+    wait_until_running(sidecar, |running| running > STREAM_CALLERS / 2).await?;
+    wait_until_running(sidecar, |running| running == 0).await?;
+    call_until_served(callers, path, &[KEY], &stream_request(8)).await?;
+    drop(crowd);
+    call_until_served(callers, path, &[KEY], &stream_request(8)).await?;
+    let memory_kib = peak_memory_kib(id)?;
+    println!("process {id}: {memory_kib} KiB");
+    assert!(
+        memory_kib <= STREAM_MEMORY_MB << 10,
+        "{memory_kib} KiB of memory"
+    );
+    Ok(())
+}
+
+/// Waits until the number of requests that a sidecar runs is as wanted.
+async fn wait_until_running(admin: SocketAddr, wanted: fn(usize) -> bool) -> Result<(), BoxError> {
+    let limit = Duration::from_millis(RUNNING_LIMIT_MS);
+    let running = async {
+        while !wanted(serde_json::from_value(dump(admin).await["running"].take())?) {
+            sleep(Duration::from_millis(100)).await;
+        }
+        Ok::<_, BoxError>(())
+    };
+    timeout(limit, running).await?
+}
+
+/// Returns the body of a request for a stream of `tokens`.
+fn stream_request(tokens: u64) -> String {
+    json!({
+        "model": "small",
+        "stream": true,
+        "max_tokens": tokens,
+        "standin_tokens": tokens,
+        "messages": [{ "role": "user", "content": "weather" }],
+    })
+    .to_string()
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn whole_body_of_the_largest_size_is_served() -> Result<(), BoxError> {
     let bed = Bed::start().await?;
--- a/crates/mallowpath/src/keys/keyed_request.rs
+++ b/crates/mallowpath/src/keys/keyed_request.rs
@@ -321,7 +321,9 @@
             with_bill: true,
         });
         let backend = link.peer().backend.parse::<BackendId>();
-        let (Ok(call), Ok(backend)) = (link.open_call(attach).await, backend) else {
+        let unread = Some(Arc::clone(&run.unread));
+        let call = link.open_answer_call(attach, unread).await;
+        let (Ok(call), Ok(backend)) = (call, backend) else {
             return AttachOutcome::Lost;
         };
         let mut attempt = Attempt {
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -166,6 +166,7 @@
 pub use memory::held_answer::HeldAnswer;
 pub use memory::host_limits::{HostLimits, MemorySize, ParseMemorySizeError};
 pub use memory::segments::{SegmentedBody, Segments};
+pub use memory::unread_answer::{UnreadAnswer, UnreadPart};
 pub use memory::write_timeout::WriteTimeout;
 pub use peer::dialer::Dialer;
 pub use peer::link::{Call, Endpoint, Link, LinkSettings, Responder};
--- a/crates/mallowpath/src/memory/buffer_budget.rs
+++ b/crates/mallowpath/src/memory/buffer_budget.rs
@@ -202,7 +202,20 @@
         self.eviction.notified().await;
     }
 
-    fn try_grow(&self, bytes: usize) -> Growth {
+    /// Enlarges the buffer by `bytes` for which others are making room.
+    pub(super) fn grow_ahead(&self, bytes: usize) {
+        let now_ms = self.budget.now_ms();
+        self.budget.lock().table.grow_ahead(self.id, bytes, now_ms);
+    }
+
+    /// Has the caller's connection closed, as there is no room for `bytes` more of its answer.
+    pub(super) fn give_up(&self, bytes: usize) {
+        self.record_refusal(bytes);
+        self.eviction.notify_one();
+    }
+
+    /// Enlarges the buffer by `bytes` if there is room at once, and else has others make it.
+    pub(super) fn try_grow(&self, bytes: usize) -> Growth {
         let now_ms = self.budget.now_ms();
         let mut state = self.budget.lock();
         let growth = state.table.grow(self.id, bytes, now_ms);
--- a/crates/mallowpath/src/memory/buffer_table.rs
+++ b/crates/mallowpath/src/memory/buffer_table.rs
@@ -24,6 +24,9 @@
 /// milliseconds.
 const UNREAD_AFTER_MS: u64 = 2_000;
 
+/// Time without progress after which an answer may have to make room for a smaller one, in milliseconds.
+const PAUSES_AFTER_MS: u64 = 200;
+
 /// Identifies a caller: a workspace, or a host if the workspace is unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct CallerId(u64);
@@ -191,7 +194,7 @@
         let caller = buffer.caller;
         let missing_bytes = self.missing_bytes(buffer, bytes);
         if missing_bytes.of_all == 0 && missing_bytes.of_caller == 0 {
-            self.add(id, bytes);
+            self.add(id, bytes, now_ms);
             return Growth::Granted;
         }
         let mut chosen = Vec::new();
@@ -208,13 +211,47 @@
         for id in chosen {
             self.set_evicted(id, false);
         }
-        Growth::Refused
+        let Some(larger) = self.larger_unread(id, bytes, now_ms) else {
+            return Growth::Refused;
+        };
+        self.set_evicted(larger, true);
+        Growth::AfterEviction(vec![larger])
+    }
+
+    /// Returns the largest answer that pauses and holds more than an answer that grows by `bytes`.
+    ///
+    /// It makes room before it has stalled, so that the answers of callers who read are not given up for it.
+    fn larger_unread(&self, id: BufferId, bytes: usize, now_ms: u64) -> Option<BufferId> {
+        let growing = self.buffers.get(&id)?;
+        if growing.kind != BufferKind::Unread {
+            return None;
+        }
+        let mut largest = (growing.bytes + bytes, None);
+        for (&other, buffer) in &self.buffers {
+            let pauses = now_ms.saturating_sub(buffer.progress_at_ms) >= PAUSES_AFTER_MS;
+            let yields = buffer.kind == BufferKind::Unread && !buffer.is_evicted && pauses;
+            if yields && buffer.bytes > largest.0 {
+                largest = (buffer.bytes, Some(other));
+            }
+        }
+        largest.1
     }
 
-    fn add(&mut self, id: BufferId, bytes: usize) {
+    /// Enlarges a buffer by `bytes` before the buffers that were chosen for it have made room.
+    ///
+    /// All together may exceed the limit by what those hold.
+    pub fn grow_ahead(&mut self, id: BufferId, bytes: usize, now_ms: u64) {
+        self.add(id, bytes, now_ms);
+    }
+
+    fn add(&mut self, id: BufferId, bytes: usize, now_ms: u64) {
         let Some(buffer) = self.buffers.get_mut(&id) else {
             return;
         };
+        if buffer.bytes == 0 {
+            // Nothing could have made progress before.
+            buffer.progress_at_ms = now_ms;
+        }
         buffer.bytes += bytes;
         self.used_bytes += bytes;
         self.callers.entry(buffer.caller).or_default().bytes += bytes;
--- a/crates/mallowpath/src/memory/mod.rs
+++ b/crates/mallowpath/src/memory/mod.rs
@@ -17,4 +17,5 @@
 pub mod host_limits;
 mod log_interval;
 pub mod segments;
+pub mod unread_answer;
 pub mod write_timeout;
--- a/crates/mallowpath/src/peer/link.rs
+++ b/crates/mallowpath/src/peer/link.rs
@@ -8,12 +8,16 @@
 use crate::{
     error::{Category, Error, Result},
     id::Incarnation,
-    memory::frame_codec::FrameCodec,
+    memory::{
+        frame_codec::FrameCodec,
+        unread_answer::{UnreadAnswer, UnreadPart},
+    },
     peer::link_tasks::{
         FRAME_MAX_BYTES, exchange_hello, read_frames, send_heartbeats, write_frames,
     },
     peer::wire::{Cancel, Frame, FrameBody, Heartbeat, Hello},
 };
+use bytes::Bytes;
 use futures_util::StreamExt;
 use std::{
     collections::HashMap,
@@ -81,17 +85,27 @@
 struct Calls {
     next_id: u64,
     /// Calls that this process opened, with the senders of their answers.
-    answer_senders: HashMap<u64, mpsc::UnboundedSender<FrameBody>>,
+    answer_senders: HashMap<u64, AnswerSender>,
     /// Calls that the peer opened, with the tokens that cancel them.
     cancel_tokens: HashMap<u64, CancellationToken>,
 }
 
+/// The receiving side of a connection's end of a call.
+struct AnswerSender {
+    messages: mpsc::UnboundedSender<Received>,
+    /// Accounts for the parts of an answer that is passed on to a caller.
+    unread: Option<Arc<UnreadAnswer>>,
+}
+
+/// A message of an answer, with its memory if it is accounted for.
+type Received = (FrameBody, Option<UnreadPart>);
+
 /// A call that this process opened; dropping it before [`Call::finish`] cancels it at the peer.
 #[derive(Debug)]
 pub struct Call {
     id: u64,
     link: Arc<Link>,
-    incoming: mpsc::UnboundedReceiver<FrameBody>,
+    incoming: mpsc::UnboundedReceiver<Received>,
     finished: bool,
 }
 
@@ -201,11 +215,25 @@
     /// Returns [`Category::Refused`] if the connection was closed before the message was queued, so
     /// the peer never receives it.
     pub async fn open_call(self: &Arc<Self>, body: FrameBody) -> Result<Call> {
-        let (sender, incoming) = mpsc::unbounded_channel();
+        self.open_answer_call(body, None).await
+    }
+
+    /// Opens a call with the message `body`, for the parts of whose answer `unread` accounts.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Link::open_call`].
+    pub(crate) async fn open_answer_call(
+        self: &Arc<Self>,
+        body: FrameBody,
+        unread: Option<Arc<UnreadAnswer>>,
+    ) -> Result<Call> {
+        let (messages, incoming) = mpsc::unbounded_channel();
         let id = {
             let mut calls = self.calls();
             let id = calls.next_id;
             calls.next_id += 2;
+            let sender = AnswerSender { messages, unread };
             calls.answer_senders.insert(id, sender);
             id
         };
@@ -305,7 +333,7 @@
             let mut calls = self.calls();
             if let Some(sender) = calls.answer_senders.get(&call) {
                 // Sending fails if the caller has dropped the call; its answer is discarded.
-                drop(sender.send(body));
+                drop(sender.messages.send(sender.account_for(body)));
                 return;
             }
             if let FrameBody::Cancel(_) = body {
@@ -335,12 +363,22 @@
 impl Call {
     /// Waits for the next message of the answer; returns `None` once the connection is closed.
     pub async fn next(&mut self) -> Option<FrameBody> {
+        let (body, _) = self.next_part().await?;
+        Some(body)
+    }
+
+    /// Waits for the next message of the answer, which is accounted for until the second value is dropped.
+    pub(crate) async fn next_part(&mut self) -> Option<Received> {
         self.incoming.recv().await
     }
 
-    /// Marks the call as finished, so that dropping it does not cancel it at the peer.
+    /// Marks the call as finished, so that dropping it does not cancel it at the peer, and discards what is
+    /// left of its answer.
     pub fn finish(&mut self) {
         self.finished = true;
+        self.link.calls().answer_senders.remove(&self.id);
+        self.incoming.close();
+        while self.incoming.try_recv().is_ok() {}
     }
 
     /// Returns the connection of the call.
@@ -349,6 +387,21 @@
     }
 }
 
+impl AnswerSender {
+    /// Accounts for a part of an answer, in memory of its own: what was read from the connection at once is
+    /// one piece of memory that all messages in it keep.
+    fn account_for(&self, body: FrameBody) -> Received {
+        match (body, &self.unread) {
+            (FrameBody::Chunk(mut chunk), Some(unread)) => {
+                chunk.data = Bytes::copy_from_slice(&chunk.data);
+                let part = unread.hold(chunk.data.len() + size_of::<Received>());
+                (FrameBody::Chunk(chunk), Some(part))
+            }
+            (body, _) => (body, None),
+        }
+    }
+}
+
 impl Drop for Call {
     fn drop(&mut self) {
         self.link.calls().answer_senders.remove(&self.id);
--- a/crates/mallowpath/src/request/delivery.rs
+++ b/crates/mallowpath/src/request/delivery.rs
@@ -1,13 +1,17 @@
 //! Forwarding of a response to its caller, which survives reconnects to the sidecar.
 
 use crate::{
+    memory::unread_answer::UnreadPart,
     peer::link::now_ms,
     peer::wire::{AnswerChunk, AnswerEnd, Attach, FrameBody, Stop},
     process::router::Router,
     request::refusal::{Code, Refusal},
     request::request_run::{Attempt, AttemptEnd, RETRY_AFTER_MS, RequestRun, ResponsePart},
 };
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 use tokio::{sync::mpsc, time::timeout};
 
 /// The time limit for reattaching to a run after its connection was lost.
@@ -52,7 +56,7 @@
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let next = tokio::select! {
-                next = timeout(remaining, attempt.call.next()) => next,
+                next = timeout(remaining, attempt.call.next_part()) => next,
                 () = delivery.out.closed(), if !delivery.caller_left => {
                     delivery.caller_left = true;
                     if run.key.is_none() {
@@ -62,35 +66,35 @@
                 }
             };
             match next {
-                Ok(Some(FrameBody::Head(head))) => {
+                Ok(Some((FrameBody::Head(head), _))) => {
                     delivery.status = head.status;
                     delivery.send(ResponsePart::Head(head)).await;
                 }
-                Ok(Some(FrameBody::Chunk(chunk))) => {
+                Ok(Some((FrameBody::Chunk(chunk), part))) => {
                     if let Some(first_ms) = delivery.record_first_chunk(&chunk)
                         && !delivery.attached
                     {
                         self.first_token(run, attempt, first_ms);
                     }
-                    if !delivery.forward_chunk(chunk).await
+                    if !delivery.forward_chunk(chunk, part).await
                         && !self.reattach(run, attempt, delivery).await
                     {
                         return AttemptEnd::Lost;
                     }
                 }
-                Ok(Some(FrameBody::End(end)))
+                Ok(Some((FrameBody::End(end), _)))
                     if !end.whole || end.chunks == delivery.next_chunk =>
                 {
                     attempt.call.finish();
                     return attempt_end(end);
                 }
-                Ok(Some(FrameBody::Refused(refused))) => {
+                Ok(Some((FrameBody::Refused(refused), _))) => {
                     attempt.call.finish();
                     let text = format!("the backend server refused: {}", refused.code);
                     let refusal = Refusal::not_run(Code::BackendRefused, text);
                     return AttemptEnd::Refused(refusal.with_retry_after(refused.retry_after_ms));
                 }
-                Ok(Some(FrameBody::CallFailed(failed))) => {
+                Ok(Some((FrameBody::CallFailed(failed), _))) => {
                     log::warn!(
                         "sidecar {} can't report the end of request {}, which counts as lost: {}",
                         attempt.address,
@@ -141,7 +145,8 @@
                 if link.peer_incarnation() != attempt.sidecar {
                     return false;
                 }
-                if let Ok(call) = link.open_call(attach).await {
+                let unread = Some(Arc::clone(&run.unread));
+                if let Ok(call) = link.open_answer_call(attach, unread).await {
                     attempt.call = call;
                     return true;
                 }
@@ -231,7 +236,7 @@
     }
 
     /// Forwards a chunk; returns false if a chunk before it is missing.
-    async fn forward_chunk(&mut self, chunk: AnswerChunk) -> bool {
+    async fn forward_chunk(&mut self, chunk: AnswerChunk, part: Option<UnreadPart>) -> bool {
         if chunk.index > self.next_chunk {
             return false;
         }
@@ -242,7 +247,7 @@
         self.next_chunk += 1;
         self.chunks += 1;
         self.last_chunk_ms = now_ms().saturating_sub(self.submitted_at_ms);
-        self.send(ResponsePart::Data(chunk.data)).await;
+        self.send(ResponsePart::Data(chunk.data, part)).await;
         true
     }
 
--- a/crates/mallowpath/src/request/http_api.rs
+++ b/crates/mallowpath/src/request/http_api.rs
@@ -13,6 +13,7 @@
         buffer_budget::Buffer,
         buffer_table::{BufferKind, CallerId},
         connection_limiter::ConnectionSlot,
+        unread_answer::UnreadAnswer,
     },
     process::router::Router,
     request::body::{BodyError, HeldBody, read_body},
@@ -125,6 +126,7 @@
     let id = router.next_request();
     let body = Bytes::from(chat.engine_body(cap, priority));
     let answer = held.open_answer(connection);
+    let unread = UnreadAnswer::new(held.open_answer(connection));
     let body = held.replace(body);
     let run = RequestRun {
         id,
@@ -137,6 +139,7 @@
         body,
         key,
         repeatable: is_repeatable(&parts.headers, &service),
+        unread,
         workspace,
         service,
     };
@@ -233,6 +236,7 @@
     let service = find_service(router, &workspace, service, ServiceKind::Plain)?;
     let held = read_request_body(router, &workspace, body, PLAIN_COPIES).await?;
     let answer = held.open_answer(connection);
+    let unread = UnreadAnswer::new(held.open_answer(connection));
     let key = idempotency_key(&parts.headers)?;
     let id = router.next_request();
     let query = match parts.uri.query() {
@@ -250,6 +254,7 @@
         body: held.compact(),
         key,
         repeatable: is_repeatable(&parts.headers, &service),
+        unread,
         workspace,
         service,
     };
--- a/crates/mallowpath/src/request/request_run.rs
+++ b/crates/mallowpath/src/request/request_run.rs
@@ -8,6 +8,7 @@
     config::fleet::{Service, ServiceKind, Workspace},
     id::{BackendId, Incarnation, RequestId, Tokens},
     keys::key_client::RequestKey,
+    memory::unread_answer::{UnreadAnswer, UnreadPart},
     peer::link::{Call, now_ms},
     peer::wire::{AnswerEnd, AnswerHead, FrameBody, SlicePart, Submit},
     process::router::Router,
@@ -62,6 +63,8 @@
     pub(crate) key: Option<Arc<str>>,
     /// Whether the request may run more than once.
     pub(crate) repeatable: bool,
+    /// What has arrived of the answer for the caller.
+    pub(crate) unread: Arc<UnreadAnswer>,
 }
 
 /// A part of the response to a caller, in order.
@@ -69,8 +72,8 @@
 pub(crate) enum ResponsePart {
     /// The status and content type.
     Head(AnswerHead),
-    /// A part of the body.
-    Data(Bytes),
+    /// A part of the body, and its memory.
+    Data(Bytes, Option<UnreadPart>),
     /// The response is complete and its bill is durable.
     Whole(Receipt),
     /// There is no complete response.
@@ -369,7 +372,9 @@
         } = chosen;
         submit.sidecar = link.peer().incarnation;
         let submitted_at_ms = now_ms();
-        let call = match link.open_call(FrameBody::Submit(submit)).await {
+        let unread = Some(Arc::clone(&run.unread));
+        let submit = FrameBody::Submit(submit);
+        let call = match link.open_answer_call(submit, unread).await {
             Ok(call) => call,
             Err(error) => {
                 log::info!(
--- a/crates/mallowpath/src/request/response.rs
+++ b/crates/mallowpath/src/request/response.rs
@@ -61,7 +61,7 @@
 fn encode_event(id: RequestId, part: ResponsePart) -> Bytes {
     match part {
         ResponsePart::Head(_) => Bytes::from_static(b": started\n\n"),
-        ResponsePart::Data(data) => {
+        ResponsePart::Data(data, _) => {
             let mut text = Vec::with_capacity(data.len() + 8);
             text.extend_from_slice(b"data: ");
             text.extend_from_slice(&data);
@@ -108,6 +108,7 @@
     buffer: Buffer,
 ) -> Response<Body> {
     let mut text = String::new();
+    let mut text_bytes = 0;
     let mut finish_reason = None;
     let mut error_head = None;
     let mut backend_body = Segments::new(None);
@@ -115,16 +116,21 @@
         match part {
             ResponsePart::Head(head) if head.status >= 400 => error_head = Some(head),
             ResponsePart::Head(_) => {}
-            ResponsePart::Data(data) if error_head.is_some() => {
+            ResponsePart::Data(data, _part) if error_head.is_some() => {
                 backend_body.push_when_released(data, &buffer).await;
             }
-            ResponsePart::Data(data) => {
+            ResponsePart::Data(data, _) => {
                 let Ok(event) = serde_json::from_slice::<StreamEvent>(&data) else {
                     continue;
                 };
                 if let Some(content) = event.content {
                     text.push_str(&content);
                 }
+                if text.capacity() > text_bytes {
+                    let more_bytes = text.capacity() - text_bytes;
+                    buffer.grow_when_released(more_bytes).await;
+                    text_bytes += more_bytes;
+                }
                 finish_reason = event.finish_reason.or(finish_reason);
             }
             ResponsePart::Whole(receipt) => {
@@ -174,7 +180,9 @@
     while let Some(part) = parts.recv().await {
         match part {
             ResponsePart::Head(received) => head = Some(received),
-            ResponsePart::Data(data) => backend_body.push_when_released(data, &buffer).await,
+            ResponsePart::Data(data, _part) => {
+                backend_body.push_when_released(data, &buffer).await;
+            }
             ResponsePart::Whole(receipt) => {
                 let Some(head) = head else { break };
                 let body = HeldAnswer::new(backend_body.finish(), buffer);
--- a/crates/mallowpath/tests/memory.rs
+++ b/crates/mallowpath/tests/memory.rs
@@ -5,11 +5,11 @@
 use mallowpath::{
     BodyError, BufferBudget, BufferId, BufferKind, BufferTable, CallerId, ConnectionAdmission,
     ConnectionLimiter, ConnectionTable, FrameCodec, Growth, HostLimits, MemorySize, SegmentedBody,
-    Segments, WriteTimeout, read_body,
+    Segments, UnreadAnswer, WriteTimeout, read_body,
 };
 use proptest::prelude::*;
 use std::{io, net::Ipv4Addr, time::Duration};
-use tokio::io::AsyncWriteExt;
+use tokio::{io::AsyncWriteExt, time::timeout};
 use tokio_util::codec::{Decoder, Encoder};
 
 const KIB: usize = 1 << 10;
@@ -18,6 +18,9 @@
 /// Time after which an unfinished message of which nothing more arrives may have to make room.
 const STALLED_MS: u64 = 1_000;
 
+/// Time without progress after which an answer may have to make room for a smaller one.
+const PAUSES_MS: u64 = 200;
+
 fn caller(name: &str) -> CallerId {
     CallerId::of(name.as_bytes())
 }
@@ -154,6 +157,56 @@
     assert_eq!(evicted, Growth::AfterEviction(vec![stalled, answer]));
 }
 
+#[test]
+fn answers_that_pause_make_room_for_smaller_ones() {
+    let mut table = BufferTable::new(16 * MIB);
+    let large = open(&mut table, "a", BufferKind::Unread, 9 * MIB);
+    let small = open(&mut table, "b", BufferKind::Unread, 7 * MIB);
+    assert_eq!(table.grow(large, KIB, PAUSES_MS), Growth::Refused);
+    assert_eq!(table.grow(small, KIB, PAUSES_MS - 1), Growth::Refused);
+    table.record_progress(large, 16 * KIB, 1);
+    assert_eq!(table.grow(small, KIB, PAUSES_MS), Growth::Refused);
+    let evicted = table.grow(small, KIB, PAUSES_MS + 1);
+    assert_eq!(evicted, Growth::AfterEviction(vec![large]));
+    table.grow_ahead(small, 9 * MIB, PAUSES_MS + 1);
+    assert_eq!(table.grow(small, KIB, PAUSES_MS + 1), Growth::Refused);
+    table.close(large);
+    assert_eq!(table.used_bytes(), 16 * MIB);
+}
+
+#[tokio::test]
+async fn parts_of_an_answer_are_held_until_they_are_passed_on() {
+    let budget = BufferBudget::new(64 * KIB);
+    let limiter = ConnectionLimiter::new("callers", 2);
+    let slot = limiter.admit().await.expect("there is room");
+    let request = budget.open(caller("a"), BufferKind::Whole);
+    let answer = UnreadAnswer::new(request.open_answer(&slot));
+    let mut parts = Vec::new();
+    for used_bytes in [0, 0, 16 * KIB, 16 * KIB, 16 * KIB, 16 * KIB, 32 * KIB] {
+        parts.push(answer.hold(4 * KIB));
+        assert_eq!(budget.used_bytes(), used_bytes, "{} parts", parts.len());
+    }
+    parts.truncate(2);
+    assert_eq!(budget.used_bytes(), 0);
+}
+
+#[tokio::test]
+async fn answer_without_memory_has_its_connection_closed() {
+    let budget = BufferBudget::new(64 * KIB);
+    let limiter = ConnectionLimiter::new("callers", 2);
+    let slot = limiter.admit().await.expect("there is room");
+    let request = budget.open(caller("a"), BufferKind::Whole);
+    let answer = UnreadAnswer::new(request.open_answer(&slot));
+    let whole = answer.hold(64 * KIB);
+    let aborted = timeout(Duration::ZERO, slot.aborted()).await;
+    assert!(aborted.is_err(), "there was memory");
+    let more = answer.hold(16 * KIB);
+    slot.aborted().await;
+    assert_eq!(budget.used_bytes(), 64 * KIB);
+    drop((whole, more));
+    assert_eq!(budget.used_bytes(), 0);
+}
+
 #[test]
 fn nobody_makes_room_in_vain() {
     let mut table = BufferTable::new(16 * MIB);
