Account for the bodies of requests that run at a sidecar

What callers saw: 32 callers of 4 routers of the library that each send a body of 4 MiB take the sidecar of a slow service to 64,800 KiB where it may have 49,152; a host of that size ends it, and the requests at its backend server with it.

Cause: a sidecar counted a message while it arrived and forgot it with the next one, though the body in it stays until its request has run. Each router bounds what it passes on, so the sum grows with the number of routers. The answers that are kept of ended requests had 16 MiB, however little memory there was.

Evidence: the new test misbehaving_callers::bodies_of_requests_that_run_at_a_sidecar (crates/e2e; crowd and bound fixed before the product changed) had 64,800 and 64,624 KiB of 49,152 on the code before. One router alone doesn't show it (27,292 KiB): a workspace may hold half of a router's memory for bodies.

Change: a sidecar counts bodies of over 16 KiB in its budget for messages until their requests have run. RunTable refuses one without room like one for which no slot is free, with a tombstone where that is asked for, so that it is true that it doesn't run; the router may try another. Kept answers have a quarter as much as all buffers, 16 MiB by default as before. A message is released when it is handed out, since a lone body would count twice otherwise. mallowpath_buffered_bytes is a metric of sidecars, too.

Open: the answers of the requests that run at a sidecar (64 at most), which it keeps whole for routers that attach again.

--- a/crates/e2e/src/cluster.rs
+++ b/crates/e2e/src/cluster.rs
@@ -50,6 +50,8 @@
     pub drain_notice_ms: u64,
     /// The memory of each router, in MiB.
     pub router_memory_mb: u64,
+    /// The memory of each sidecar, in MiB.
+    pub sidecar_memory_mb: u64,
     /// The most output tokens of a request.
     pub max_output_tokens: u64,
 }
@@ -186,7 +188,8 @@
         file.set("host_list", self.log.address)
             .set("backend", name)
             .set("backend_address", backend.address)
-            .set("service", service);
+            .set("service", service)
+            .set("memory_mb", self.settings.sidecar_memory_mb);
         let path = file.write(&self.folder, name)?;
         let arguments = ["--settings", path.to_str().unwrap_or_default()];
         let process = Process::spawn(name, Program::Sidecar, &arguments)?;
@@ -382,6 +385,7 @@
             },
             drain_notice_ms: 200,
             router_memory_mb: 256,
+            sidecar_memory_mb: 256,
             max_output_tokens: 4_096,
         }
     }
--- a/crates/e2e/tests/misbehaving_callers.rs
+++ b/crates/e2e/tests/misbehaving_callers.rs
@@ -8,7 +8,7 @@
     BoxError, Cluster, ClusterSettings, Crowd, Sent, call_until_served, dump, peak_memory_kib,
     wait_until_steady,
 };
-use mallowpath_standins::simulated_engine;
+use mallowpath_standins::{plain_service, simulated_engine};
 use serde_json::json;
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
@@ -34,6 +34,13 @@
 const STREAM_TOKENS: u64 = 100_000;
 const STREAM_MEMORY_MB: u64 = 64;
 
+/// Callers at each of [`SLOW_ROUTERS`] that each send a body of the largest size, which a service takes its
+/// time for; a sidecar of [`SIDECAR_MEMORY_MB`] would exceed that if it took all that the routers pass on.
+const SLOW_CALLERS: usize = 8;
+const SLOW_ROUTERS: usize = 4;
+const SLOW_CALL_MS: u64 = 2_000;
+const SIDECAR_MEMORY_MB: u64 = 48;
+
 /// More than the timeout of a request.
 const RUNNING_LIMIT_MS: u64 = 40_000;
 
@@ -259,6 +266,44 @@
     Ok(())
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_of_requests_that_run_at_a_sidecar() -> Result<(), BoxError> {
+    let _alone = ONE_AT_A_TIME.lock().await;
+    let service = plain_service::Settings {
+        delay_ms: SLOW_CALL_MS,
+        ..plain_service::Settings::default()
+    };
+    let cluster = Cluster::start(ClusterSettings {
+        routers: SLOW_ROUTERS,
+        engines: Vec::new(),
+        services: vec![("lookup", service)],
+        sidecar_memory_mb: SIDECAR_MEMORY_MB,
+        ..ClusterSettings::default()
+    })
+    .await?;
+    let callers = cluster.callers();
+    let id = cluster.sidecars[0].process.id();
+    let sent = Sent::announced(&head(), BODY_MAX_BYTES, BODY_MAX_BYTES, 1 << 16);
+    let mut crowds = Vec::new();
+    for router in &callers {
+        crowds.push(Crowd::start(*router, SLOW_CALLERS, &sent));
+    }
+    for crowd in &crowds {
+        crowd.wait_until_sent().await;
+    }
+    wait_until_running(cluster.sidecars[0].admin, |running| running == 0).await?;
+    let path = "POST /services/lookup/one";
+    call_until_served(callers[0], path, &[KEY], "hi").await?;
+    drop(crowds);
+    let memory_kib = peak_memory_kib(id)?;
+    println!("process {id}: {memory_kib} KiB");
+    assert!(
+        memory_kib <= SIDECAR_MEMORY_MB << 10,
+        "{memory_kib} KiB of memory"
+    );
+    Ok(())
+}
+
 /// Waits until the number of requests that a sidecar runs is as wanted.
 async fn wait_until_running(admin: SocketAddr, wanted: fn(usize) -> bool) -> Result<(), BoxError> {
     let limit = Duration::from_millis(RUNNING_LIMIT_MS);
--- a/crates/mallowpath/src/backend_host/run_table.rs
+++ b/crates/mallowpath/src/backend_host/run_table.rs
@@ -56,6 +56,8 @@
     pub key: Option<RunKey>,
     /// Whether a refusal also writes a tombstone, so that the request never runs here.
     pub tombstone_on_refusal: bool,
+    /// Whether the sidecar has memory for the request's body.
+    pub has_memory: bool,
 }
 
 /// The answer to a [`Submit`].
@@ -75,7 +77,7 @@
     EpochFenced,
     /// The backend server is leaving and takes no new work.
     Leaving,
-    /// The limit on runs in progress is reached.
+    /// The limit on runs in progress is reached, or there is no memory for the request's body.
     Full {
         /// Time after which to retry, in milliseconds.
         retry_after_ms: u64,
@@ -388,7 +390,7 @@
         if self.leaving {
             return Some(SubmitAnswer::Leaving);
         }
-        if self.running >= self.settings.max_running {
+        if self.running >= self.settings.max_running || !submit.has_memory {
             let retry_after_ms = self.settings.retry_after_ms;
             return Some(SubmitAnswer::Full { retry_after_ms });
         }
--- a/crates/mallowpath/src/backend_host/sidecar.rs
+++ b/crates/mallowpath/src/backend_host/sidecar.rs
@@ -45,6 +45,8 @@
 
 /// Pause after each read of the host list, and between two checks for runs to cancel or evict.
 const LOOP_PAUSE_MS: u64 = 200;
+/// The answers of requests that have ended may take one of so many parts of the memory for buffers, beside it.
+const KEPT_PARTS: usize = 4;
 /// How long a read of the host list waits for a change, which bounds the age of a confirmation.
 const HOST_LIST_WAIT_MS: u64 = 1000;
 
@@ -55,6 +57,8 @@
     pub(crate) backend_client: BackendClient,
     pub(crate) orders: SidecarOrders,
     pub(crate) in_flight: InFlightCounter,
+    /// The memory for messages of routers and for the bodies of requests that run.
+    pub(crate) buffers: Arc<BufferBudget>,
     runs: Mutex<Runs>,
     bills: Mutex<KeptBills>,
     links: Mutex<Vec<Arc<Link>>>,
@@ -125,8 +129,10 @@
         let (admin, admin_address) =
             bind(settings.host.admin_listen, "listen for operators").await?;
         let incarnation = Incarnation::random();
+        let buffers = BufferBudget::new(settings.host.limits.buffer_max_bytes());
         let run_settings = RunSettings {
             keep_ms: settings.tuning.keep_answer_ms,
+            keep_bytes: buffers.max_bytes() / KEPT_PARTS,
             max_running: usize::try_from(settings.tuning.max_running).unwrap_or(usize::MAX),
             ..RunSettings::default()
         };
@@ -139,6 +145,7 @@
             backend_client: BackendClient::new(settings.backend_address),
             orders: SidecarOrders::new(settings.backend_address, order_settings),
             in_flight: InFlightCounter::default(),
+            buffers,
             runs: Mutex::new(Runs {
                 table: RunTable::new(incarnation, run_settings, []),
                 signals: HashMap::new(),
@@ -155,8 +162,7 @@
         });
         let limits = &sidecar.settings.host.limits;
         serve_admin(admin, sidecar.hooks(), limits);
-        let buffers = BufferBudget::new(limits.buffer_max_bytes());
-        let link_limits = LinkLimits::new("peers", limits, &buffers);
+        let link_limits = LinkLimits::new("peers", limits, &sidecar.buffers);
         let endpoint = sidecar.endpoint(address, admin_address);
         tokio::spawn(Arc::clone(&sidecar).follow_host_list());
         let accepting = Arc::clone(&sidecar);
@@ -340,6 +346,7 @@
         gauge!("mallowpath_ready").set(f64::from(u8::from(self.is_ready())));
         gauge!("mallowpath_takes_work").set(f64::from(u8::from(self.accepting())));
         gauge!("mallowpath_runs_in_progress").set(self.in_flight.count() as f64);
+        gauge!("mallowpath_buffered_bytes").set(self.buffers.used_bytes() as f64);
         gauge!("mallowpath_bills_kept").set(self.bills().count() as f64);
     }
 
--- a/crates/mallowpath/src/backend_host/sidecar_calls.rs
+++ b/crates/mallowpath/src/backend_host/sidecar_calls.rs
@@ -8,6 +8,10 @@
     id::{Incarnation, RequestId, Tokens},
     keys::key_records::KeyHash,
     membership::members::{Fence, FenceTarget},
+    memory::{
+        buffer_budget::{Buffer, MemoryShort},
+        buffer_table::{BufferKind, CallerId},
+    },
     peer::link::{Responder, now_ms},
     peer::wire::{
         self, AnswerChunk, AnswerEnd, Attach, BillsLogged, CallFailed, Done, FenceReply, FrameBody,
@@ -19,6 +23,8 @@
 use prost::Message;
 use std::{sync::Arc, time::Duration};
 
+/// Bytes up to which the body of a request is part of the memory of the process itself.
+const BODY_FREE_BYTES: usize = 16 << 10;
 /// Interval at which an attach checks whether its submit has arrived.
 const SUBMIT_POLL_MS: u64 = 5;
 
@@ -53,12 +59,14 @@
 
 async fn serve_submit(sidecar: Arc<Sidecar>, submit: Submit, responder: Responder) {
     let id = RequestId::from(submit.request);
+    let mut body_memory = sidecar.hold_body(&submit);
     let decision = {
         // The check and the insertion share one lock, so that a later drain counts the run.
         let accepting = sidecar.accepting();
         let mut runs = sidecar.runs();
         let decision = if accepting {
-            runs.table.submit(&table_submit(&submit))
+            runs.table
+                .submit(&table_submit(&submit, body_memory.is_ok()))
         } else {
             SubmitAnswer::Leaving
         };
@@ -66,13 +74,15 @@
             runs.signals.insert(id, Arc::default());
             let in_flight_guard = sidecar.in_flight.enter();
             let sidecar = Arc::clone(&sidecar);
+            let body_memory = std::mem::replace(&mut body_memory, Err(MemoryShort));
             tokio::spawn(async move {
                 execute_run(&sidecar, id, submit).await;
-                drop(in_flight_guard);
+                drop((in_flight_guard, body_memory));
             });
         }
         decision
     };
+    drop(body_memory);
     let (code, retry_after_ms) = match decision {
         SubmitAnswer::Start => {
             stream_answer(&sidecar, id, 0, &responder, false).await;
@@ -112,7 +122,7 @@
 }
 
 /// Converts a submit from its wire form.
-fn table_submit(submit: &Submit) -> RunSubmit {
+fn table_submit(submit: &Submit, has_memory: bool) -> RunSubmit {
     let key = submit.key.as_ref().and_then(run_key);
     RunSubmit {
         id: submit.request.into(),
@@ -120,6 +130,7 @@
         lowest_open: submit.lowest_open,
         key,
         tombstone_on_refusal: key.is_some(),
+        has_memory,
     }
 }
 
@@ -367,6 +378,19 @@
 }
 
 impl Sidecar {
+    /// Accounts for the body of a request until the request has run.
+    ///
+    /// Routers divide the memory among their callers, so here each request counts as a caller of its own.
+    fn hold_body(&self, submit: &Submit) -> Result<Buffer, MemoryShort> {
+        let request = RequestId::from(submit.request).to_string();
+        let caller = CallerId::of(request.as_bytes());
+        let buffer = self.buffers.open(caller, BufferKind::Whole);
+        if submit.body.len() > BODY_FREE_BYTES {
+            buffer.grow_now(submit.body.len())?;
+        }
+        Ok(buffer)
+    }
+
     /// Seals the bills of a fenced router and returns what was billed to each of its slices.
     ///
     /// A later bill of the router is refused.
--- a/crates/mallowpath/src/memory/frame_codec.rs
+++ b/crates/mallowpath/src/memory/frame_codec.rs
@@ -17,7 +17,7 @@
 /// A codec of messages that are preceded by their length.
 ///
 /// A message for which there is no memory is an error, which closes the connection. The memory of a
-/// message is released when the next one is read.
+/// message is released when it is handed out; who keeps parts of it accounts for them.
 #[derive(Debug)]
 pub struct FrameCodec {
     codec: LengthDelimitedCodec,
@@ -73,7 +73,11 @@
 
     fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<BytesMut>> {
         self.hold(src.len())?;
-        self.codec.decode(src)
+        let frame = self.codec.decode(src)?;
+        if frame.is_some() {
+            self.hold(src.len())?;
+        }
+        Ok(frame)
     }
 }
 
--- a/crates/mallowpath/tests/key_shards.rs
+++ b/crates/mallowpath/tests/key_shards.rs
@@ -486,6 +486,7 @@
                 committed_in,
             }),
             tombstone_on_refusal: true,
+            has_memory: true,
         });
         if answer == SubmitAnswer::Start {
             self.started_runs.push((key, entry.request_id));
--- a/crates/mallowpath/tests/memory.rs
+++ b/crates/mallowpath/tests/memory.rs
@@ -387,6 +387,7 @@
     assert_eq!(error.kind(), io::ErrorKind::Other);
     src.unsplit(std::mem::take(&mut rest));
     assert_eq!(first.decode(&mut src).unwrap().unwrap().len(), 500 * KIB);
+    assert_eq!(budget.used_bytes(), 0);
     assert!(first.decode(&mut src).unwrap().is_none());
     assert_eq!(budget.used_bytes(), 0);
 }
--- a/crates/mallowpath/tests/run_table.rs
+++ b/crates/mallowpath/tests/run_table.rs
@@ -35,6 +35,7 @@
         lowest_open: 0,
         key,
         tombstone_on_refusal: false,
+        has_memory: true,
     }
 }
 
@@ -69,10 +70,15 @@
             match kind {
                 0..=9 => {
                     let lowest_open = if kind == 0 { sequence } else { 0 };
-                    let tombstone_on_refusal = kind < 3;
-                    let answer =
-                        table.submit(&Submit { lowest_open, tombstone_on_refusal, ..submit(id) });
+                    let (tombstone_on_refusal, has_memory) = (kind < 3, !(2..4).contains(&kind));
+                    let answer = table.submit(&Submit {
+                        lowest_open,
+                        tombstone_on_refusal,
+                        has_memory,
+                        ..submit(id)
+                    });
                     if answer == SubmitAnswer::Start {
+                        assert!(has_memory, "{id} started without memory");
                         assert!(started.insert(id), "{id} started twice");
                         assert!(!tombstoned.contains(&id), "{id} started after its tombstone");
                         assert!(!fenced_routers.contains(&id.incarnation) && !epoch_fenced);
@@ -140,6 +146,20 @@
     assert!(table.take_orphans(16).is_empty());
 }
 
+#[test]
+fn request_without_memory_is_refused_as_full() {
+    let mut table = RunTable::new(SIDECAR, settings(), []);
+    let large = Submit {
+        has_memory: false,
+        tombstone_on_refusal: true,
+        ..submit(id(1, 1))
+    };
+    let full = SubmitAnswer::Full { retry_after_ms: 9 };
+    assert_eq!(table.submit(&large), full);
+    assert_eq!(table.submit(&submit(id(1, 1))), SubmitAnswer::Tombstoned);
+    assert_eq!(table.submit(&submit(id(1, 2))), SubmitAnswer::Start);
+}
+
 #[test]
 fn refusals_name_their_reason() {
     let mut table = RunTable::new(SIDECAR, settings(), [FenceTarget::Router(9)]);
--- a/crates/mallowpath/tests/shared_tables.rs
+++ b/crates/mallowpath/tests/shared_tables.rs
@@ -44,6 +44,7 @@
             lowest_open: 1,
             key: None,
             tombstone_on_refusal: false,
+            has_memory: true,
         };
         let mut submitters = Vec::new();
         for _ in 0..2 {
