--- a/crates/gateway/src/process/gateway.rs
+++ b/crates/gateway/src/process/gateway.rs
@@ -6,6 +6,7 @@
     former_configurations::FormerConfigurations,
     grace_period::GracePeriod,
     peer_messages::handle_peer_message,
+    phase::Phase,
     relay::serve_relay,
     router_directory::RouterDirectory,
     settings::GatewaySettings,
@@ -56,18 +57,6 @@
 /// Interval between checks whether the router is loaded.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// The phases of a process, from normal operation through its shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// The process accepts connections and requests.
-    Serving,
-    /// The process reports that it is not ready but accepts requests until the load balancer has
-    /// noticed.
-    Leaving,
-    /// The process accepts no connections and closes idle ones.
-    Closing,
-}
-
 /// A router that forwards requests to backend servers.
 #[derive(Debug)]
 pub struct Gateway {
--- a/crates/gateway/src/process/shutdown.rs
+++ b/crates/gateway/src/process/shutdown.rs
@@ -1,6 +1,6 @@
 //! The graceful shutdown of a router.
 
-use super::gateway::{Gateway, Phase};
+use super::{gateway::Gateway, phase::Phase};
 use crate::budget::tell_last_accounts;
 use std::{
     sync::Arc,
--- a/crates/mallowpath/src/backend_host/mod.rs
+++ b/crates/mallowpath/src/backend_host/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod backend_client;
 pub(crate) mod load_poll;
 pub(crate) mod run_history;
+pub(crate) mod run_signals;
 pub(crate) mod run_table;
 pub(crate) mod sidecar;
 pub(crate) mod sidecar_bills;
--- a/crates/mallowpath/src/backend_host/sidecar.rs
+++ b/crates/mallowpath/src/backend_host/sidecar.rs
@@ -5,6 +5,7 @@
 use crate::{
     backend_host::backend_client::BackendClient,
     backend_host::load_poll::poll_load,
+    backend_host::run_signals::Runs,
     backend_host::run_table::{RunSettings, RunTable},
     backend_host::sidecar_calls::serve_call,
     backend_host::sidecar_join::{join, leave},
@@ -14,13 +15,13 @@
     config::configuration::set_config_gauges,
     config::work_eligibility::{NoWorkReason, WorkEligibility},
     error::Result,
-    id::{Incarnation, RequestId, Version},
+    id::{Incarnation, Version},
     membership::members::Join,
     membership::peer_connections::PeerConnections,
     memory::buffer_budget::BufferBudget,
     peer::link::{Endpoint, Link, now_ms},
     peer::link_tasks::{LinkLimits, accept_links},
-    peer::wire::{AnswerEnd, AnswerHead, Heartbeat, Hello, Load},
+    peer::wire::{Heartbeat, Hello, Load},
     process::admin::{AdminHooks, bind, serve_admin},
     process::in_flight::InFlightCounter,
     process::settings::SidecarSettings,
@@ -35,12 +36,11 @@
     fmt::{self, Display},
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
 };
-use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 /// Pause after each read of the host list, and between two checks for runs to cancel or evict.
@@ -72,26 +72,6 @@
     pub(crate) ended: CancellationToken,
 }
 
-/// The run table and the signals of its runs, under one lock.
-#[derive(Debug)]
-pub(crate) struct Runs {
-    pub(crate) table: RunTable,
-    pub(crate) signals: HashMap<RequestId, Arc<RunSignals>>,
-}
-
-/// Notifies tasks of the progress of one run, and carries the request to stop it.
-#[derive(Debug, Default)]
-pub(crate) struct RunSignals {
-    /// Notified of the head, of each chunk and of the end.
-    pub(crate) progress: Notify,
-    /// Cancelled to stop the run.
-    pub(crate) stop: CancellationToken,
-    /// The status and the content type, once the backend server has sent them.
-    pub(crate) head: OnceLock<AnswerHead>,
-    /// How the run ended, or `None` while it is in progress.
-    end: Mutex<Option<AnswerEnd>>,
-}
-
 /// What a sidecar knows of its backend server.
 #[derive(Debug, Default)]
 struct BackendStatus {
@@ -480,21 +460,6 @@
     }
 }
 
-impl RunSignals {
-    /// Returns how the run ended, or `None` while it is in progress.
-    pub(crate) fn ended(&self) -> Option<AnswerEnd> {
-        self.end
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    /// Records how the run ended.
-    pub(crate) fn set_end(&self, end: AnswerEnd) {
-        *self.end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
-    }
-}
-
 impl fmt::Debug for Sidecar {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Sidecar")
--- a/crates/mallowpath/src/backend_host/sidecar_calls.rs
+++ b/crates/mallowpath/src/backend_host/sidecar_calls.rs
@@ -3,7 +3,7 @@
 use crate::{
     backend_host::backend_client::{AnswerPart, end_code},
     backend_host::run_table::{AttachAnswer, RunEnd, RunKey, Submit as RunSubmit, SubmitAnswer},
-    backend_host::sidecar::{RunSignals, Sidecar},
+    backend_host::sidecar::Sidecar,
     billing::bill::Bill,
     id::{Incarnation, RequestId, Tokens},
     keys::key_records::KeyHash,
@@ -431,16 +431,3 @@
         }
     }
 }
-
-impl RunSignals {
-    /// Waits for the end of the run.
-    async fn wait_for_end(&self) -> AnswerEnd {
-        loop {
-            let changed = self.progress.notified();
-            if let Some(end) = self.ended() {
-                return end;
-            }
-            changed.await;
-        }
-    }
-}
--- a/crates/mallowpath/src/lib.rs
+++ b/crates/mallowpath/src/lib.rs
@@ -186,9 +186,10 @@
 pub use process::daemon::{DaemonOptions, run_daemon};
 pub use process::http_listener::{HttpLimits, serve_connection};
 pub use process::logging::{start_logging, start_logging_to, wall_clock_ms};
+pub use process::peer_timing::PeerTiming;
 pub use process::router::{Router, RouterAddresses};
 pub use process::settings::{
-    HostSettings, PeerTiming, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
+    HostSettings, RouterSettings, RouterTuning, SidecarSettings, SidecarTuning,
     read_router_settings, read_sidecar_settings,
 };
 pub use process::signal::{TerminationSignals, run_until_drained};
--- a/crates/mallowpath/src/memory/buffer_table.rs
+++ b/crates/mallowpath/src/memory/buffer_table.rs
@@ -72,12 +72,12 @@
     max_bytes: usize,
     used_bytes: usize,
     next_id: u64,
-    buffers: HashMap<BufferId, Buffer>,
+    buffers: HashMap<BufferId, HeldBuffer>,
     callers: HashMap<CallerId, CallerUse>,
 }
 
 #[derive(Debug)]
-struct Buffer {
+struct HeldBuffer {
     caller: CallerId,
     kind: BufferKind,
     bytes: usize,
@@ -121,7 +121,7 @@
         self.next_id += 1;
         let id = BufferId(self.next_id);
         self.callers.entry(caller).or_default().buffers += 1;
-        let buffer = Buffer {
+        let buffer = HeldBuffer {
             caller,
             kind,
             bytes: 0,
@@ -258,7 +258,7 @@
     }
 
     /// Returns how much is in the way of a buffer that grows by `bytes`.
-    fn missing_bytes(&self, buffer: &Buffer, bytes: usize) -> MissingBytes {
+    fn missing_bytes(&self, buffer: &HeldBuffer, bytes: usize) -> MissingBytes {
         let held = self
             .callers
             .get(&buffer.caller)
@@ -341,7 +341,7 @@
     of_caller: usize,
 }
 
-impl Buffer {
+impl HeldBuffer {
     /// Returns in which order a buffer that makes no progress has to make room; `None` if it has not.
     fn stalled_rank(&self, now_ms: u64) -> Option<u8> {
         let (rank, stalled_after_ms) = match self.kind {
--- a/crates/mallowpath/src/process/mod.rs
+++ b/crates/mallowpath/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod http_listener;
 pub(crate) mod in_flight;
 pub(crate) mod logging;
+pub(crate) mod peer_timing;
 pub(crate) mod router;
 pub(crate) mod router_calls;
 pub(crate) mod router_peers;
--- a/crates/mallowpath/src/process/settings.rs
+++ b/crates/mallowpath/src/process/settings.rs
@@ -11,7 +11,7 @@
     config::work_eligibility::ConfirmationPolicy,
     id::{BackendId, HostId, Region, ServiceId, Zone},
     memory::host_limits::{HostLimits, MemorySize},
-    peer::link::LinkSettings,
+    process::peer_timing::PeerTiming,
 };
 use std::{net::SocketAddr, path::Path, sync::Arc};
 
@@ -54,24 +54,6 @@
     pub limits: HostLimits,
 }
 
-/// Intervals and timeouts that routers and sidecars have in common, in milliseconds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerTiming {
-    /// Interval between heartbeats on a connection.
-    pub heartbeat_ms: u64,
-    /// Time without a message from the peer after which a connection is closed.
-    pub peer_timeout_ms: u64,
-    /// Limit on the time to open a connection.
-    pub connect_timeout_ms: u64,
-    /// Limit on the time of one call to the log service or the host list.
-    pub platform_timeout_ms: u64,
-    /// How long a read at the end of a stream, or of an unchanged host list, waits for an update.
-    pub platform_wait_ms: u64,
-    /// How long a router may be disconnected before others log its bills, and missing from the host
-    /// list before it is fenced.
-    pub lost_router_ms: u64,
-}
-
 /// Settings of a router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouterSettings {
@@ -153,17 +135,6 @@
     pub order_timeout_ms: u64,
 }
 
-impl PeerTiming {
-    /// Returns the settings of connections to peers.
-    pub(crate) fn link(&self) -> LinkSettings {
-        LinkSettings {
-            heartbeat_interval_ms: self.heartbeat_ms,
-            silent_after_ms: self.peer_timeout_ms,
-            connect_timeout_ms: self.connect_timeout_ms,
-        }
-    }
-}
-
 impl RouterSettings {
     /// Reads the section `[router]`.
     ///
@@ -264,7 +235,7 @@
 fn read_router(reader: &mut SectionReader<'_>) -> Option<RouterSettings> {
     let host = read_host(reader);
     let callers_listen = reader.required("callers_listen", ADDRESS_FORMAT);
-    let timing = read_timing(reader);
+    let timing = PeerTiming::read(reader);
     let default = RouterTuning::default();
     let tuning = RouterTuning {
         header_timeout_ms: millis(reader, "header_timeout_ms", default.header_timeout_ms),
@@ -306,7 +277,7 @@
     let backend = reader.required("backend", NAME_FORMAT);
     let backend_address = reader.required("backend_address", ADDRESS_FORMAT);
     let service = reader.required("service", NAME_FORMAT);
-    let timing = read_timing(reader);
+    let timing = PeerTiming::read(reader);
     let default = SidecarTuning::default();
     let tuning = SidecarTuning {
         max_running: count(reader, "max_running", default.max_running),
@@ -380,38 +351,6 @@
     }
 }
 
-fn read_timing(reader: &mut SectionReader<'_>) -> PeerTiming {
-    let default = PeerTiming::default();
-    let timing = PeerTiming {
-        heartbeat_ms: millis(reader, "heartbeat_ms", default.heartbeat_ms),
-        peer_timeout_ms: millis(reader, "peer_timeout_ms", default.peer_timeout_ms),
-        connect_timeout_ms: millis(reader, "connect_timeout_ms", default.connect_timeout_ms),
-        platform_timeout_ms: millis(reader, "platform_timeout_ms", default.platform_timeout_ms),
-        platform_wait_ms: millis(reader, "platform_wait_ms", default.platform_wait_ms),
-        lost_router_ms: millis(reader, "lost_router_ms", default.lost_router_ms),
-    };
-    if timing.peer_timeout_ms < 2 * timing.heartbeat_ms {
-        reject_heartbeat_timing(reader, &timing);
-    }
-    timing
-}
-
-#[cold]
-fn reject_heartbeat_timing(reader: &mut SectionReader<'_>, timing: &PeerTiming) {
-    if reader.has("peer_timeout_ms") {
-        let expected = format!(
-            "at least twice heartbeat_ms, which is {}",
-            timing.heartbeat_ms
-        );
-        return reader.reject("peer_timeout_ms", &expected);
-    }
-    let expected = format!(
-        "at most half of peer_timeout_ms, which is {}",
-        timing.peer_timeout_ms
-    );
-    reader.reject("heartbeat_ms", &expected);
-}
-
 /// Checks the bounds of `unconfirmed_after_ms`.
 ///
 /// Above the upper bound, a leaving backend server could take work for too long. Below the lower
@@ -454,7 +393,7 @@
     }
 }
 
-fn millis(reader: &mut SectionReader<'_>, key: &'static str, default: u64) -> u64 {
+pub(super) fn millis(reader: &mut SectionReader<'_>, key: &'static str, default: u64) -> u64 {
     reader.number(key, MIN_MS, MAX_MS, default)
 }
 
@@ -462,19 +401,6 @@
     reader.number(key, 1, MAX_COUNT, default)
 }
 
-impl Default for PeerTiming {
-    fn default() -> Self {
-        Self {
-            heartbeat_ms: 1_000,
-            peer_timeout_ms: 3_000,
-            connect_timeout_ms: 1_000,
-            platform_timeout_ms: 5_000,
-            platform_wait_ms: 2_000,
-            lost_router_ms: 10_000,
-        }
-    }
-}
-
 impl Default for RouterTuning {
     fn default() -> Self {
         Self {
