--- a/crates/mallowpath/src/peer/link.rs
+++ b/crates/mallowpath/src/peer/link.rs
@@ -90,7 +90,7 @@
     cancel_tokens: HashMap<u64, CancellationToken>,
 }
 
-/// The receiving side of a connection's end of a call.
+/// Where a connection puts the messages of a call's answer.
 struct AnswerSender {
     messages: mpsc::UnboundedSender<Received>,
     /// Accounts for the parts of an answer that is passed on to a caller.
